--- /dev/null
+++ b/src/grant_table.h
@@ -0,0 +1,88 @@
+#ifndef SRC_GRANT_TABLE_H_
+#define SRC_GRANT_TABLE_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "src/event_loop.h"
+#include "src/ledger_client.h"
+#include "src/shard_state.h"
+
+// Defines the holder's side of prepaid budgets: the tokens granted to this
+// router, reservations on them, and the exchanges that settle and refill.
+
+namespace crocuslatch {
+
+struct GrantTableOptions {
+  std::uint32_t shard_count = 16;
+  // Longest delay between a bill and the exchange that settles it.
+  Millis settle_period{1000};
+  // Window of recent use that sizes the next grant.
+  Millis use_window{10000};
+  // An unused grant goes back after this time.
+  Millis idle_return{30000};
+  Millis exchange_timeout{1000};
+  // Retry delay after an exchange without a known result.
+  Millis retry_delay{250};
+};
+
+enum class ReserveStatus {
+  kReserved,
+  // The budget does not cover the amount.
+  kInsufficient,
+  // The ledger was not reachable before the deadline.
+  kUnavailable,
+  kUnknownBudget,
+};
+
+struct HeldGrant {
+  std::string budget;
+  // Tokens of the grant that are neither reserved nor billed.
+  Tokens free = 0;
+  Tokens reserved = 0;
+  // Billed locally and not yet settled.
+  Tokens unsettled = 0;
+  auto operator<=>(const HeldGrant&) const = default;
+};
+
+// Thread-safe. Callbacks run on the loop passed to the constructor.
+class GrantTable {
+ public:
+  GrantTable(GrantTableOptions options,
+             HolderId holder,
+             EventLoop loop,
+             ApplyToShard apply,
+             // Present limit of a budget by the document in force, or
+             // nullopt if the document has no such budget.
+             std::function<std::optional<Tokens>(const std::string&)> limit);
+  ~GrantTable();
+
+  // Reserves at once if the grant covers `amount`, else exchanges first and
+  // waits up to `wait`.
+  void Reserve(const std::string& budget,
+               Tokens amount,
+               Millis wait,
+               std::function<void(ReserveStatus)> callback);
+
+  // Ends a reservation: bills `bill.amount`, at most `reserved`, and frees
+  // the rest. An amount of 0 bills nothing.
+  void Settle(const std::string& budget, Tokens reserved, const Bill& bill);
+
+  // Gives unreserved tokens back with the next exchange, at once.
+  void Recall(const std::string& budget);
+
+  // Settles and returns everything, then calls back; used by planned stops.
+  void ReturnAll(std::function<void()> callback);
+
+  std::vector<HeldGrant> Held() const;
+
+ private:
+  struct Core;
+  std::shared_ptr<Core> core_;
+};
+
+}  // namespace crocuslatch
+
+#endif  // SRC_GRANT_TABLE_H_
--- /dev/null
+++ b/src/types.h
@@ -0,0 +1,66 @@
+#ifndef SRC_TYPES_H_
+#define SRC_TYPES_H_
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+
+// Defines the value types shared by all modules: amounts, names, keys and
+// outcomes.
+
+namespace crocuslatch {
+
+using Millis = std::chrono::milliseconds;
+
+// An amount of model tokens. Prices of orders are stated in the same unit.
+using Tokens = std::int64_t;
+
+// 128-bit hash that identifies a request of one client account for
+// deduplication.
+struct RequestKey {
+  std::uint64_t high = 0;
+  std::uint64_t low = 0;
+  auto operator<=>(const RequestKey&) const = default;
+};
+
+// Hash of `parts`, with lengths included so that ("a","bc") and ("ab","c")
+// differ.
+RequestKey MakeRequestKey(std::initializer_list<std::string_view> parts);
+
+std::string ToString(const RequestKey& key);
+
+// Stable 64-bit hash (XXH3); equal on every host and version.
+std::uint64_t StableHash(std::string_view text, std::uint64_t seed = 0);
+
+// Number of the ledger shard that holds `budget`.
+std::uint32_t ShardOfBudget(std::string_view budget, std::uint32_t shard_count);
+
+// One incarnation of a router process, written "<host>/<16 hex digits>".
+struct HolderId {
+  std::string host;
+  std::uint64_t incarnation = 0;
+  auto operator<=>(const HolderId&) const = default;
+};
+
+HolderId MakeHolderId(std::string host);
+
+std::string ToString(const HolderId& holder);
+
+// The closed set of results that a caller can be told.
+enum class Outcome { kAnswered, kNotRun, kInProgress, kOutcomeUnknown };
+
+std::string_view ToString(Outcome outcome);
+
+}  // namespace crocuslatch
+
+template <>
+struct std::hash<crocuslatch::RequestKey> {
+  std::size_t operator()(const crocuslatch::RequestKey& key) const noexcept {
+    return key.high ^ (key.low * 0x9E3779B97F4A7C15ULL);
+  }
+};
+
+#endif  // SRC_TYPES_H_
