--- a/src/shard_state.h
+++ b/src/shard_state.h
@@ -115,6 +115,9 @@
   // Wall-clock time of the last change, milliseconds since 1970; decides
   // when the record leaves the retention time.
   std::int64_t changed_ms = 0;
+  // Attempts that dispatched nothing, oldest first. A late copy of such an
+  // attempt's claim must fail even after another attempt held the record.
+  std::vector<std::uint64_t> abandoned_attempts;
   bool operator==(const ClaimRecord&) const = default;
 };
 
@@ -163,7 +166,8 @@
   kExists,
   // The key was used with another body.
   kKeyReused,
-  // The attempt does not hold the claim.
+  // The attempt does not hold the claim, or the holder settles or returns
+  // more than it was granted.
   kNotHeld,
   // A sequence other than the last one or the next one.
   kBadSequence,
