--- /dev/null
+++ b/src/shard_state.cc
@@ -0,0 +1,340 @@
+#include "src/shard_state.h"
+
+#include <algorithm>
+#include <optional>
+
+#include "src/error.h"
+
+namespace crocuslatch {
+namespace {
+
+// Low-water mark of a budget. Above it a grant takes at most half of what is
+// left, so that one holder does not strand the rest; below it, halves would
+// be smaller than one request of a model's default output limit.
+constexpr Tokens kLowWaterTokens = 4096;
+
+// Bounds a claim record. Each entry is a claim whose write had no known
+// result, which a caller that retries with backoff does less often.
+constexpr std::size_t kMaxAbandonedAttempts = 256;
+
+Tokens Outstanding(const BudgetRecord& budget) {
+  Tokens sum = 0;
+  for (const auto& it : budget.grants) {
+    sum += it.second.outstanding;
+  }
+  return sum;
+}
+
+void CheckInvariant(const BudgetRecord& budget) {
+  CROCUSLATCH_ASSERT(budget.billed >= 0);
+  CROCUSLATCH_ASSERT(budget.open_charges >= 0);
+  CROCUSLATCH_ASSERT(budget.billed + Outstanding(budget) +
+                         budget.open_charges <=
+                     budget.limit);
+}
+
+BudgetRecord* FindBudget(ShardState& state, const std::string& name) {
+  const auto it = state.budgets.find(name);
+  return it == state.budgets.end() ? nullptr : &it->second;
+}
+
+ClaimRecord* FindClaim(ShardState& state, const RequestKey& key) {
+  const auto it = state.claims.find(key);
+  return it == state.claims.end() ? nullptr : &it->second;
+}
+
+ShardReply StatusReply(ReplyStatus status) {
+  ShardReply reply;
+  reply.status = status;
+  return reply;
+}
+
+std::vector<HolderId> OtherHolders(const BudgetRecord& budget,
+                                   const HolderId& holder) {
+  std::vector<HolderId> others;
+  for (const auto& [id, grant] : budget.grants) {
+    if (id != holder && grant.outstanding > 0) {
+      others.push_back(id);
+    }
+  }
+  return others;
+}
+
+ShardReply BalanceReply(ReplyStatus status,
+                        const BudgetRecord& budget,
+                        const HolderId& holder) {
+  ShardReply reply;
+  reply.status = status;
+  reply.available = Available(budget);
+  reply.other_holders = OtherHolders(budget, holder);
+  return reply;
+}
+
+Tokens GrantSize(const ExchangeCommand& command, Tokens available) {
+  const Tokens half = available > kLowWaterTokens ? available / 2 : available;
+  const Tokens granted =
+      std::min({command.want, available, std::max(half, command.least)});
+  return granted < command.least ? 0 : granted;
+}
+
+// True if the exchange settles and returns no more than the holder has.
+bool Covers(Tokens outstanding, const ExchangeCommand& command) {
+  Tokens left = outstanding;
+  for (const auto& it : command.bills) {
+    if (it.amount < 0 || it.amount > left) {
+      return false;
+    }
+    left -= it.amount;
+  }
+  return command.returned >= 0 && command.returned <= left;
+}
+
+void SettleBills(ShardState& state,
+                 BudgetRecord& budget,
+                 GrantRecord& grant,
+                 const std::vector<Bill>& bills,
+                 std::int64_t now_ms) {
+  for (const auto& it : bills) {
+    grant.outstanding -= it.amount;
+    // A key that is present belongs to a retry that ran twice: its amount
+    // falls back to the budget.
+    if (state.bills.emplace(it.key, BillRecord{it.amount, now_ms}).second) {
+      budget.billed += it.amount;
+    }
+  }
+}
+
+ShardReply ApplyOne(ShardState& state,
+                    const ExchangeCommand& command,
+                    std::int64_t now_ms) {
+  BudgetRecord* budget = FindBudget(state, command.budget);
+  if (!budget) {
+    return StatusReply(ReplyStatus::kUnknownBudget);
+  }
+  const auto found = budget->grants.find(command.holder);
+  const GrantRecord before =
+      found == budget->grants.end() ? GrantRecord{} : found->second;
+  if (command.sequence != 0 && command.sequence == before.last_sequence) {
+    ShardReply reply = BalanceReply(ReplyStatus::kOk, *budget, command.holder);
+    reply.granted = before.last_granted;
+    return reply;
+  }
+  if (command.sequence != before.last_sequence + 1) {
+    return BalanceReply(ReplyStatus::kBadSequence, *budget, command.holder);
+  }
+  if (!Covers(before.outstanding, command)) {
+    return BalanceReply(ReplyStatus::kNotHeld, *budget, command.holder);
+  }
+  GrantRecord& grant = budget->grants[command.holder];
+  SettleBills(state, *budget, grant, command.bills, now_ms);
+  grant.outstanding -= command.returned;
+  const Tokens granted = GrantSize(command, Available(*budget));
+  grant.outstanding += granted;
+  grant.last_sequence = command.sequence;
+  grant.last_granted = granted;
+  grant.frozen = false;
+  CheckInvariant(*budget);
+  ShardReply reply = BalanceReply(ReplyStatus::kOk, *budget, command.holder);
+  reply.granted = granted;
+  return reply;
+}
+
+ShardReply ApplyOne(ShardState& state,
+                    const SetLimitCommand& command,
+                    std::int64_t /*now_ms*/) {
+  BudgetRecord& budget = state.budgets[command.budget];
+  budget.limit = std::max(budget.limit, command.limit);
+  CheckInvariant(budget);
+  ShardReply reply;
+  reply.available = Available(budget);
+  return reply;
+}
+
+bool IsAbandoned(const ClaimRecord& record, std::uint64_t attempt) {
+  return std::ranges::find(record.abandoned_attempts, attempt) !=
+         record.abandoned_attempts.end();
+}
+
+// The reply to a claim that the present record decides; nullopt if the
+// attempt may take the record.
+std::optional<ShardReply> DecidedBy(const ClaimRecord& record,
+                                    const ClaimCommand& command) {
+  if (IsAbandoned(record, command.attempt)) {
+    return StatusReply(ReplyStatus::kNotHeld);
+  }
+  // A record left by an Abandon that came first has no digest.
+  const bool has_digest = record.digest != RequestKey{};
+  if (has_digest && record.digest != command.digest) {
+    return StatusReply(ReplyStatus::kKeyReused);
+  }
+  if (record.state == ClaimState::kAbandoned) {
+    return std::nullopt;
+  }
+  if (record.state == ClaimState::kClaimed &&
+      record.attempt == command.attempt) {
+    return StatusReply(ReplyStatus::kOk);
+  }
+  ShardReply reply = StatusReply(ReplyStatus::kExists);
+  reply.claim = record;
+  return reply;
+}
+
+ShardReply ApplyOne(ShardState& state,
+                    const ClaimCommand& command,
+                    std::int64_t now_ms) {
+  ClaimRecord* present = FindClaim(state, command.key);
+  if (present) {
+    if (const auto decided = DecidedBy(*present, command)) {
+      return *decided;
+    }
+  }
+  BudgetRecord* budget = FindBudget(state, command.budget);
+  if (!budget) {
+    return StatusReply(ReplyStatus::kUnknownBudget);
+  }
+  if (command.cost < 0 || command.cost > Available(*budget)) {
+    return BalanceReply(ReplyStatus::kInsufficient, *budget, command.holder);
+  }
+  ClaimRecord& record = state.claims[command.key];
+  record.digest = command.digest;
+  record.budget = command.budget;
+  record.cost = command.cost;
+  record.attempt = command.attempt;
+  record.holder = command.holder;
+  record.state = ClaimState::kClaimed;
+  record.changed_ms = now_ms;
+  budget->open_charges += command.cost;
+  CheckInvariant(*budget);
+  return StatusReply(ReplyStatus::kOk);
+}
+
+BudgetRecord& BudgetOfClaim(ShardState& state, const ClaimRecord& record) {
+  BudgetRecord* budget = FindBudget(state, record.budget);
+  CROCUSLATCH_ASSERT(budget != nullptr);
+  return *budget;
+}
+
+// Ends the open charge of a claim by billing it.
+void BillClaim(ShardState& state, const ClaimRecord& record) {
+  BudgetRecord& budget = BudgetOfClaim(state, record);
+  budget.open_charges -= record.cost;
+  budget.billed += record.cost;
+  CheckInvariant(budget);
+}
+
+ShardReply ApplyOne(ShardState& state,
+                    const FinishCommand& command,
+                    std::int64_t now_ms) {
+  ClaimRecord* record = FindClaim(state, command.key);
+  if (!record || record->attempt != command.attempt ||
+      record->state == ClaimState::kAbandoned) {
+    return StatusReply(ReplyStatus::kNotHeld);
+  }
+  if (record->state == ClaimState::kFinished) {
+    return StatusReply(ReplyStatus::kOk);
+  }
+  // A doubtful claim is billed already; an answer that comes after all is
+  // better than none.
+  if (record->state == ClaimState::kClaimed) {
+    BillClaim(state, *record);
+  }
+  record->state = ClaimState::kFinished;
+  record->http_status = command.http_status;
+  record->body = command.body;
+  record->changed_ms = now_ms;
+  return StatusReply(ReplyStatus::kOk);
+}
+
+void AddAbandonedAttempt(ClaimRecord& record, std::uint64_t attempt) {
+  auto& attempts = record.abandoned_attempts;
+  attempts.push_back(attempt);
+  if (attempts.size() > kMaxAbandonedAttempts) {
+    attempts.erase(attempts.begin());
+  }
+}
+
+ShardReply ApplyOne(ShardState& state,
+                    const AbandonCommand& command,
+                    std::int64_t now_ms) {
+  const auto [it, is_new] = state.claims.try_emplace(command.key);
+  ClaimRecord& record = it->second;
+  if (is_new) {
+    record.budget = command.budget;
+    record.attempt = command.attempt;
+    record.state = ClaimState::kAbandoned;
+  }
+  if (IsAbandoned(record, command.attempt)) {
+    return StatusReply(ReplyStatus::kOk);
+  }
+  const bool is_present_attempt = !is_new && record.attempt == command.attempt;
+  if (is_present_attempt && record.state != ClaimState::kClaimed) {
+    return StatusReply(ReplyStatus::kNotHeld);
+  }
+  if (is_present_attempt) {
+    BudgetRecord& budget = BudgetOfClaim(state, record);
+    budget.open_charges -= record.cost;
+    CheckInvariant(budget);
+    record.state = ClaimState::kAbandoned;
+  }
+  AddAbandonedAttempt(record, command.attempt);
+  record.changed_ms = now_ms;
+  return StatusReply(ReplyStatus::kOk);
+}
+
+ShardReply ApplyOne(ShardState& state,
+                    const DoubtCommand& command,
+                    std::int64_t now_ms) {
+  ClaimRecord* record = FindClaim(state, command.key);
+  if (!record || record->attempt != command.attempt ||
+      record->state == ClaimState::kAbandoned) {
+    return StatusReply(ReplyStatus::kNotHeld);
+  }
+  if (record->state == ClaimState::kClaimed) {
+    BillClaim(state, *record);
+    record->state = ClaimState::kInDoubt;
+    record->changed_ms = now_ms;
+  }
+  return StatusReply(ReplyStatus::kOk);
+}
+
+ShardReply ApplyOne(ShardState& state,
+                    const FreezeCommand& command,
+                    std::int64_t /*now_ms*/) {
+  for (auto& [name, budget] : state.budgets) {
+    const auto it = budget.grants.find(command.holder);
+    if (it != budget.grants.end()) {
+      it->second.frozen = true;
+    }
+  }
+  return StatusReply(ReplyStatus::kOk);
+}
+
+}  // namespace
+
+Tokens Available(const BudgetRecord& budget) {
+  const Tokens available =
+      budget.limit - budget.billed - budget.open_charges - Outstanding(budget);
+  CROCUSLATCH_ASSERT(available >= 0);
+  return available;
+}
+
+ShardReply Apply(ShardState& state,
+                 const ShardCommand& command,
+                 std::int64_t now_ms) {
+  return std::visit([&](const auto& it) { return ApplyOne(state, it, now_ms); },
+                    command);
+}
+
+std::string_view BudgetOf(const ShardCommand& command) {
+  return std::visit(
+      [](const auto& it) -> std::string_view {
+        if constexpr (requires { it.budget; }) {
+          return it.budget;
+        } else {
+          return {};
+        }
+      },
+      command);
+}
+
+}  // namespace crocuslatch
