--- /dev/null
+++ b/src/caller_api.h
@@ -0,0 +1,27 @@
+#ifndef SRC_CALLER_API_H_
+#define SRC_CALLER_API_H_
+
+#include <string>
+#include <string_view>
+
+#include "src/http_front.h"
+#include "src/request_context.h"
+
+// Defines the callers' interface: authentication, headers and routing.
+
+namespace crocuslatch {
+
+// Lower-case hex SHA-256.
+std::string Sha256Hex(std::string_view text);
+
+// Reads the caller's headers. Throws RequestError.
+CallerRequest ReadCaller(const IncomingRequest& request,
+                         std::shared_ptr<const Document> document,
+                         Millis now);
+
+// Makes the handler of one worker's caller listener.
+HttpHandler MakeCallerApi(RequestContext context);
+
+}  // namespace crocuslatch
+
+#endif  // SRC_CALLER_API_H_
