--- a/src/backend_table.h
+++ b/src/backend_table.h
@@ -30,6 +30,8 @@
   std::size_t max_prefixes = 4096;
   // Retries that may be saved up.
   double max_saved_retries = 20;
+  // Age at which a report no longer counts.
+  Millis longest_report_age{5000};
   // Retries allowed each second however few requests there are.
   double retries_per_second = 1;
   // Part of a target's slots that only the most urgent work may use.
@@ -124,6 +126,10 @@
   std::optional<BackendChoice> Choose(const ChooseRequest& request);
   void Release(const BackendChoice& choice, BackendResult result);
 
+  // The server has begun to answer: ends its trial before the request ends,
+  // since a stream can take minutes.
+  void ConfirmTrial(const BackendChoice& choice);
+
   // Each first dispatch adds to the retry budget, each retry takes one.
   void CountRequest();
   bool TakeRetry();
--- /dev/null
+++ b/src/metrics.cc
@@ -0,0 +1,221 @@
+#include "src/metrics.h"
+
+#include <fmt/format.h>
+
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QJsonObject>
+#include <algorithm>
+#include <array>
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/p_square_quantile.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+#include <cmath>
+#include <map>
+#include <mutex>
+#include <tuple>
+
+namespace crocuslatch {
+namespace {
+
+namespace acc = boost::accumulators;
+using Quantile =
+    acc::accumulator_set<double, acc::stats<acc::tag::p_square_quantile>>;
+using Totals =
+    acc::accumulator_set<double, acc::stats<acc::tag::count, acc::tag::sum>>;
+
+// The P-square estimate is poor for a few samples; up to this number the
+// quantiles are exact.
+constexpr std::size_t kExactSamples = 200;
+constexpr std::array<double, 3> kQuantiles{0.5, 0.95, 0.99};
+
+struct Histogram {
+  std::array<Quantile, 3> quantiles{
+      Quantile(acc::quantile_probability = kQuantiles[0]),
+      Quantile(acc::quantile_probability = kQuantiles[1]),
+      Quantile(acc::quantile_probability = kQuantiles[2])};
+  Totals totals;
+  std::vector<double> first_samples;
+
+  void Add(double value) {
+    totals(value);
+    for (auto& it : quantiles) {
+      it(value);
+    }
+    if (first_samples.size() < kExactSamples) {
+      first_samples.push_back(value);
+    }
+  }
+
+  std::uint64_t Count() const { return acc::count(totals); }
+
+  double At(std::size_t i) const {
+    if (Count() > kExactSamples) {
+      return acc::p_square_quantile(quantiles.at(i));
+    }
+    auto sorted = first_samples;
+    std::ranges::sort(sorted);
+    const auto rank = static_cast<std::size_t>(
+        std::ceil(kQuantiles.at(i) * static_cast<double>(sorted.size())));
+    return sorted.empty() ? 0 : sorted[std::max<std::size_t>(rank, 1) - 1];
+  }
+};
+
+using HistogramKey = std::tuple<std::string, std::string, Measure>;
+using OutcomeKey = std::tuple<std::string, Outcome, std::string>;
+using TokensKey = std::pair<std::string, std::string>;
+
+// Label values may contain anything that the document allows.
+std::string Quote(std::string_view text) {
+  std::string quoted = "\"";
+  for (const char it : text) {
+    if (it == '\\' || it == '"') {
+      quoted += '\\';
+    }
+    quoted += it == '\n' ? ' ' : it;
+  }
+  return quoted + '"';
+}
+
+QString Text(std::string_view text) {
+  return QString::fromUtf8(text.data(), static_cast<qsizetype>(text.size()));
+}
+
+}  // namespace
+
+struct Metrics::Core {
+  mutable std::mutex mutex;
+  std::map<HistogramKey, Histogram> histograms;
+  std::map<OutcomeKey, std::uint64_t> outcomes;
+  std::map<TokensKey, Tokens> tokens;
+};
+
+std::string_view ToString(Measure measure) {
+  switch (measure) {
+    case Measure::kFirstToken:
+      return "first_token";
+    case Measure::kBetweenTokens:
+      return "between_tokens";
+    case Measure::kQueueWait:
+      return "queue_wait";
+    case Measure::kEndToEnd:
+      return "end_to_end";
+  }
+  return "end_to_end";
+}
+
+Metrics::Metrics() : core_(std::make_unique<Core>()) {}
+Metrics::~Metrics() = default;
+
+void Metrics::Record(const std::string& rank,
+                     const std::string& client_account,
+                     Measure measure,
+                     double milliseconds) {
+  const std::lock_guard lock(core_->mutex);
+  core_->histograms[{"rank", rank, measure}].Add(milliseconds);
+  core_->histograms[{"client_account", client_account, measure}].Add(
+      milliseconds);
+}
+
+void Metrics::CountOutcome(const std::string& rank,
+                           Outcome outcome,
+                           const std::string& code) {
+  const std::lock_guard lock(core_->mutex);
+  ++core_->outcomes[{rank, outcome, code}];
+}
+
+void Metrics::CountTokens(const std::string& rank,
+                          const std::string& client_account,
+                          Tokens tokens) {
+  const std::lock_guard lock(core_->mutex);
+  core_->tokens[{rank, client_account}] += tokens;
+}
+
+std::vector<Summary> Metrics::Summaries() const {
+  const std::lock_guard lock(core_->mutex);
+  std::vector<Summary> summaries;
+  for (const auto& [key, it] : core_->histograms) {
+    summaries.push_back({.kind = std::get<0>(key),
+                         .name = std::get<1>(key),
+                         .measure = std::get<2>(key),
+                         .count = it.Count(),
+                         .p50 = it.At(0),
+                         .p95 = it.At(1),
+                         .p99 = it.At(2)});
+  }
+  return summaries;
+}
+
+std::string Metrics::Exposition() const {
+  std::string text;
+  for (const auto measure : {Measure::kFirstToken, Measure::kBetweenTokens,
+                             Measure::kQueueWait, Measure::kEndToEnd}) {
+    text +=
+        fmt::format("# TYPE crocuslatch_{}_ms summary\n", ToString(measure));
+    for (const auto& it : Summaries()) {
+      if (it.measure != measure) {
+        continue;
+      }
+      const auto name = fmt::format("crocuslatch_{}_ms", ToString(measure));
+      const auto label = fmt::format("{}={}", it.kind, Quote(it.name));
+      text +=
+          fmt::format("{}{{{},quantile=\"0.5\"}} {}\n", name, label, it.p50);
+      text +=
+          fmt::format("{}{{{},quantile=\"0.95\"}} {}\n", name, label, it.p95);
+      text +=
+          fmt::format("{}{{{},quantile=\"0.99\"}} {}\n", name, label, it.p99);
+      text += fmt::format("{}_count{{{}}} {}\n", name, label, it.count);
+    }
+  }
+  const std::lock_guard lock(core_->mutex);
+  text += "# TYPE crocuslatch_requests_total counter\n";
+  for (const auto& [key, n] : core_->outcomes) {
+    text += fmt::format(
+        "crocuslatch_requests_total{{rank={},outcome={},code={}}} {}\n",
+        Quote(std::get<0>(key)), Quote(ToString(std::get<1>(key))),
+        Quote(std::get<2>(key)), n);
+  }
+  text += "# TYPE crocuslatch_billed_tokens_total counter\n";
+  for (const auto& [key, n] : core_->tokens) {
+    text += fmt::format(
+        "crocuslatch_billed_tokens_total{{rank={},client_account={}}} {}\n",
+        Quote(key.first), Quote(key.second), n);
+  }
+  return text;
+}
+
+std::string Metrics::Json() const {
+  QJsonArray histograms;
+  for (const auto& it : Summaries()) {
+    histograms.append(QJsonObject{{"kind", Text(it.kind)},
+                                  {"name", Text(it.name)},
+                                  {"measure", Text(ToString(it.measure))},
+                                  {"count", static_cast<qint64>(it.count)},
+                                  {"p50_ms", it.p50},
+                                  {"p95_ms", it.p95},
+                                  {"p99_ms", it.p99}});
+  }
+  const std::lock_guard lock(core_->mutex);
+  QJsonArray outcomes;
+  for (const auto& [key, n] : core_->outcomes) {
+    outcomes.append(QJsonObject{{"rank", Text(std::get<0>(key))},
+                                {"outcome", Text(ToString(std::get<1>(key)))},
+                                {"code", Text(std::get<2>(key))},
+                                {"count", static_cast<qint64>(n)}});
+  }
+  QJsonArray tokens;
+  for (const auto& [key, n] : core_->tokens) {
+    tokens.append(QJsonObject{{"rank", Text(key.first)},
+                              {"client_account", Text(key.second)},
+                              {"billed", static_cast<qint64>(n)}});
+  }
+  return QJsonDocument(QJsonObject{{"histograms", histograms},
+                                   {"outcomes", outcomes},
+                                   {"tokens", tokens}})
+      .toJson(QJsonDocument::Compact)
+      .toStdString();
+}
+
+}  // namespace crocuslatch
--- /dev/null
+++ b/src/request_errors.cc
@@ -0,0 +1,139 @@
+#include "src/request_errors.h"
+
+#include <fmt/format.h>
+
+namespace crocuslatch {
+namespace {
+
+constexpr Millis kRetryAfter{1000};
+
+}  // namespace
+
+RequestError BadRequest(int http_status,
+                        std::string code,
+                        const std::string& message,
+                        std::string remedy) {
+  return {http_status, Outcome::kNotRun, std::move(code), message,
+          std::move(remedy)};
+}
+
+RequestError ReserveRefusal(ReserveStatus status, const std::string& budget) {
+  if (status == ReserveStatus::kInsufficient) {
+    return BudgetExhausted(budget);
+  }
+  if (status == ReserveStatus::kUnknownBudget) {
+    return UnknownBudget(budget);
+  }
+  return {503,
+          Outcome::kNotRun,
+          "ledger_unavailable",
+          "the tokens granted to this router are used up and the ledger is "
+          "not reachable",
+          "retry later or through another router",
+          kRetryAfter};
+}
+
+RequestError BudgetExhausted(const std::string& budget) {
+  return BadRequest(
+      402, "budget_exhausted",
+      fmt::format("budget \"{}\" does not cover this request", budget),
+      "ask for fewer tokens, or have the budget topped up");
+}
+
+RequestError UnknownBudget(const std::string& budget) {
+  return BadRequest(
+      403, "unknown_budget",
+      fmt::format("the client account has no budget \"{}\"", budget),
+      "name a budget of the client account in X-Budget");
+}
+
+RequestError QueueRefusal(EnqueueStatus status, const std::string& rank) {
+  if (status == EnqueueStatus::kUnknownRank) {
+    return BadRequest(400, "unknown_rank",
+                      fmt::format("rank \"{}\" does not exist", rank),
+                      "name a configured rank in X-Rank");
+  }
+  if (status == EnqueueStatus::kQueueFull) {
+    return {429,
+            Outcome::kNotRun,
+            "queue_full",
+            fmt::format("too many requests of rank \"{}\" are waiting", rank),
+            "retry later, with fewer requests at the same time",
+            kRetryAfter};
+  }
+  return {503,
+          Outcome::kNotRun,
+          "deadline_unreachable",
+          "the request would not start before its deadline",
+          "retry later or with a longer X-Deadline-Ms",
+          kRetryAfter};
+}
+
+RequestError DeadlinePassed() {
+  return {504,
+          Outcome::kNotRun,
+          "deadline_passed",
+          "the deadline passed before the request was dispatched",
+          "retry with a longer X-Deadline-Ms",
+          kRetryAfter};
+}
+
+RequestError NoBackendServer(std::string_view target) {
+  return {503,
+          Outcome::kNotRun,
+          "no_backend_server",
+          fmt::format("no backend server takes work for {}", target),
+          "retry later",
+          kRetryAfter};
+}
+
+RequestError BackendFailed(bool may_have_run, const std::string& reason) {
+  if (may_have_run) {
+    return {502,
+            Outcome::kOutcomeUnknown,
+            "backend_failed",
+            fmt::format("no backend server gave a whole answer: {}", reason),
+            "retry with the same Idempotency-Key; it is billed once",
+            kRetryAfter};
+  }
+  return {503,
+          Outcome::kNotRun,
+          "backend_refused",
+          fmt::format("no backend server took the request: {}", reason),
+          "retry later",
+          kRetryAfter};
+}
+
+RequestError OrderInProgress() {
+  return {409,
+          Outcome::kInProgress,
+          "order_in_progress",
+          "an earlier attempt with this Idempotency-Key is running",
+          "retry later with the same Idempotency-Key",
+          kRetryAfter};
+}
+
+RequestError OrderOutcomeUnknown(const std::string& reason) {
+  return {502, Outcome::kOutcomeUnknown, "order_outcome_unknown",
+          fmt::format("the order may or may not have run: {}", reason),
+          "ask the service whether the order ran; retries with this "
+          "Idempotency-Key never run it again"};
+}
+
+RequestError KeyReused() {
+  return BadRequest(422, "idempotency_key_reused",
+                    "this Idempotency-Key was used for another request",
+                    "use a new Idempotency-Key for each order");
+}
+
+RequestError ClaimUnconfirmed() {
+  return {503,
+          Outcome::kNotRun,
+          "claim_unconfirmed",
+          "the order could not be recorded, so this attempt was not "
+          "dispatched; an earlier attempt with the same key may have run",
+          "retry later with the same Idempotency-Key",
+          kRetryAfter};
+}
+
+}  // namespace crocuslatch
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -117,6 +117,7 @@
     double busy_ms = 0;
     double busy_tokens = 0;
     Millis counted_until{0};
+    Millis busy_since{0};
     std::size_t count = 0;
   };
   struct Place {
@@ -136,8 +137,10 @@
                                    Millis now,
                                    const TryStart& try_start);
   std::optional<std::size_t> ChooseRank(const Lane& lane) const;
-  bool IsOwed(const RankQueue& queue, std::size_t rank) const;
+  bool IsOwed(const Lane& lane, std::size_t rank) const;
   void Charge(Lane& lane, std::size_t rank, Tokens tokens) const;
+  void Append(Lane& lane, std::size_t rank, Waiting it);
+  Waiting TakeFirst(Lane& lane, std::size_t rank);
   void Forget(Lane& lane, const Waiting& it);
 
   SchedulerOptions options_;
