Add the interface of the daemon's settings

Cause: the router and the peers need host name, listeners and periods. Ruled out: host names; programs connect to IP numbers only.

--- /dev/null
+++ b/src/settings.h
@@ -0,0 +1,87 @@
+#ifndef SRC_SETTINGS_H_
+#define SRC_SETTINGS_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "src/document.h"
+#include "src/error.h"
+#include "src/types.h"
+
+// Defines the settings of one daemon, read from a TOML file at its start.
+// examples/crocuslatchd.toml documents every key.
+
+namespace crocuslatch {
+
+struct ListenerSettings {
+  // IPv4 or IPv6 number.
+  std::string address = "127.0.0.1";
+  // 0 takes any free port.
+  std::uint16_t port = 0;
+  bool operator==(const ListenerSettings&) const = default;
+};
+
+// A router that is contacted when the host list is unreachable.
+struct StaticPeer {
+  std::string host;
+  // "<IP number>:<port>" of its peer listener.
+  std::string address;
+  bool operator==(const StaticPeer&) const = default;
+};
+
+struct PeriodSettings {
+  Millis config_head{2000};
+  Millis heartbeat{1000};
+  Millis host_list{1000};
+  Millis load_report{1000};
+  // Longest wait for an answer of the store.
+  Millis store_timeout{1000};
+  // Longest wait for an answer of a peer.
+  Millis peer_timeout{1000};
+  // Longest wait of a planned stop for requests in flight. At its end the
+  // daemon goes on waiting and logs what is open.
+  Millis stop_notice{30000};
+  bool operator==(const PeriodSettings&) const = default;
+};
+
+struct Settings {
+  std::string host_name;
+  std::string failure_domain;
+  ListenerSettings caller;
+  ListenerSettings admin;
+  ListenerSettings peer;
+  std::string admin_token;
+  // Shared by all routers of the fleet, at least 16 bytes.
+  std::string fleet_secret;
+  // Base URLs, "http://<IP number>:<port>"; the paths of the platform's
+  // protocol are appended.
+  std::string store_url;
+  std::string host_list_url;
+  std::vector<StaticPeer> peers;
+  std::uint32_t worker_threads = 2;
+  PeriodSettings periods;
+  bool operator==(const Settings&) const = default;
+};
+
+// All problems of rejected settings; what() lists them line by line.
+class SettingsError : public UserError {
+ public:
+  explicit SettingsError(std::vector<DocumentProblem> problems);
+  const std::vector<DocumentProblem>& problems() const { return problems_; }
+
+ private:
+  std::vector<DocumentProblem> problems_;
+};
+
+// Parses and checks all settings. Files named by `*_file` keys are read.
+// Throws SettingsError "settings_rejected" with every problem found.
+Settings ParseSettings(std::string_view toml);
+
+// Reads and parses the file. Throws SettingsError.
+Settings LoadSettings(const std::string& path);
+
+}  // namespace crocuslatch
+
+#endif  // SRC_SETTINGS_H_
