Parse and check the daemon's settings

Cause: the router needs its addresses, secrets and periods from one file. A secret may be given in a file. Ruled out: stopping at the first problem.

--- /dev/null
+++ b/src/settings.cc
@@ -0,0 +1,215 @@
+#include "src/settings.h"
+
+#include <fmt/format.h>
+
+#include <fstream>
+#include <optional>
+#include <sstream>
+
+#include "src/ip_endpoint.h"
+#include "src/toml_reader.h"
+
+namespace crocuslatch {
+namespace {
+
+constexpr std::size_t kMinSecretBytes = 16;
+constexpr std::uint32_t kMaxWorkerThreads = 64;
+constexpr std::uint16_t kMaxPort = 65535;
+constexpr Millis kMinPeriod{50};
+constexpr Millis kMaxPeriod{60000};
+// R8 allows 7 s from acceptance to force everywhere; two missed readings of
+// the head must still fit.
+constexpr Millis kMaxConfigHeadPeriod{3000};
+
+std::optional<std::string> ReadFile(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  std::ostringstream text;
+  if (!file || !(text << file.rdbuf())) {
+    return std::nullopt;
+  }
+  return std::move(text).str();
+}
+
+std::string WithoutLineEnd(std::string text) {
+  while (!text.empty() && (text.back() == '\n' || text.back() == '\r')) {
+    text.pop_back();
+  }
+  return text;
+}
+
+// Reads `key`, or the file that `<key>_file` names; exactly one must be set.
+void ReadSecret(TomlReader& reader, const std::string& key, std::string& out) {
+  const std::string file_key = key + "_file";
+  const bool given = reader.Has(key);
+  const bool from_file = reader.Has(file_key);
+  if (given == from_file) {
+    reader.Report(
+        reader.line(),
+        fmt::format("{} needs exactly one of \"{}\" and \"{}\"", reader.place(),
+                    key, file_key),
+        fmt::format("set \"{}\", or \"{}\" to a file that contains it", key,
+                    file_key));
+  }
+  std::string path;
+  reader.Read(key, out, Need::kOptional);
+  reader.Read(file_key, path, Need::kOptional);
+  if (given == from_file) {
+    return;
+  }
+  if (from_file) {
+    const auto text = ReadFile(path);
+    if (!text) {
+      reader.Report(reader.LineOf(file_key),
+                    fmt::format("the file \"{}\" cannot be read", path),
+                    "create the file or correct its path and permissions");
+      return;
+    }
+    out = WithoutLineEnd(*text);
+  }
+  if (out.size() < kMinSecretBytes) {
+    reader.Report(
+        reader.LineOf(from_file ? file_key : key),
+        fmt::format("\"{}\" has fewer than {} bytes", key, kMinSecretBytes),
+        "generate a longer random value");
+  }
+}
+
+void CheckAddress(TomlReader& reader, const std::string& address) {
+  if (!IsIpNumber(address)) {
+    reader.Report(reader.LineOf("address"),
+                  fmt::format("\"{}\" is not an IP number", address),
+                  "give an IPv4 or IPv6 number, for example 10.0.0.5");
+  }
+}
+
+void ReadAddressAndPort(TomlReader& reader, ListenerSettings& out) {
+  reader.Read("address", out.address, Need::kRequired);
+  reader.ReadInteger<std::uint16_t>("port", out.port, 0, kMaxPort,
+                                    Need::kRequired);
+  CheckAddress(reader, out.address);
+}
+
+void ReadBaseUrl(TomlReader& reader, std::string& out) {
+  reader.Read("url", out, Need::kRequired);
+  if (!out.empty() && out.back() == '/') {
+    out.pop_back();
+  }
+  if (reader.Has("url") && !ParseBaseUrl(out)) {
+    reader.Report(reader.LineOf("url"),
+                  fmt::format("\"{}\" is not a base URL", out),
+                  "give http://<IP number>:<port> without a path");
+  }
+}
+
+StaticPeer ReadStaticPeer(const toml::table& table,
+                          DocumentProblems& problems) {
+  TomlReader reader(table, "[[static_peer]]", problems);
+  StaticPeer peer;
+  reader.ReadName("host", peer.host, Need::kRequired);
+  reader.Read("address", peer.address, Need::kRequired);
+  if (reader.Has("address") && !ParseIpEndpoint(peer.address)) {
+    reader.Report(
+        reader.LineOf("address"),
+        fmt::format("\"{}\" is not an IP number with a port", peer.address),
+        "give <IP number>:<port>, for example 10.0.0.5:7400");
+  }
+  reader.FinishKeys();
+  return peer;
+}
+
+void ReadPeriods(TomlReader& reader, PeriodSettings& out) {
+  reader.ReadMillis("config_head_ms", out.config_head, kMinPeriod,
+                    kMaxConfigHeadPeriod);
+  reader.ReadMillis("heartbeat_ms", out.heartbeat, kMinPeriod, kMaxPeriod);
+  reader.ReadMillis("host_list_ms", out.host_list, kMinPeriod, kMaxPeriod);
+  reader.ReadMillis("load_report_ms", out.load_report, kMinPeriod, kMaxPeriod);
+  reader.ReadMillis("store_timeout_ms", out.store_timeout, kMinPeriod,
+                    kMaxPeriod);
+  reader.ReadMillis("peer_timeout_ms", out.peer_timeout, kMinPeriod,
+                    kMaxPeriod);
+}
+
+using ReadSection = std::function<void(TomlReader&)>;
+
+void ReadRequired(TomlReader& top,
+                  const std::string& name,
+                  DocumentProblems& problems,
+                  const ReadSection& read) {
+  top.WithTable(name, Need::kRequired, [&](const toml::table& table) {
+    TomlReader reader(table, "[" + name + "]", problems);
+    read(reader);
+    reader.FinishKeys();
+  });
+}
+
+void ReadHost(TomlReader& reader, Settings& out) {
+  reader.ReadName("name", out.host_name, Need::kRequired);
+  reader.ReadName("failure_domain", out.failure_domain, Need::kRequired);
+  reader.ReadInteger<std::uint32_t>("worker_threads", out.worker_threads, 1,
+                                    kMaxWorkerThreads, Need::kOptional);
+}
+
+Settings ReadSettings(const toml::table& table, DocumentProblems& problems) {
+  Settings out;
+  TomlReader top(table, "the settings", problems);
+  const auto section = [&](const std::string& name, const ReadSection& read) {
+    ReadRequired(top, name, problems, read);
+  };
+  section("host", [&](TomlReader& it) { ReadHost(it, out); });
+  section("caller",
+          [&](TomlReader& it) { ReadAddressAndPort(it, out.caller); });
+  section("admin", [&](TomlReader& it) {
+    ReadAddressAndPort(it, out.admin);
+    ReadSecret(it, "token", out.admin_token);
+  });
+  section("peer", [&](TomlReader& it) {
+    ReadAddressAndPort(it, out.peer);
+    ReadSecret(it, "fleet_secret", out.fleet_secret);
+  });
+  section("store", [&](TomlReader& it) { ReadBaseUrl(it, out.store_url); });
+  section("host_list",
+          [&](TomlReader& it) { ReadBaseUrl(it, out.host_list_url); });
+  top.ForEachTable("static_peer", [&](const toml::table& it) {
+    out.peers.push_back(ReadStaticPeer(it, problems));
+  });
+  top.WithTable("periods", Need::kOptional, [&](const toml::table& it) {
+    TomlReader reader(it, "[periods]", problems);
+    ReadPeriods(reader, out.periods);
+    reader.FinishKeys();
+  });
+  top.FinishKeys();
+  return out;
+}
+
+}  // namespace
+
+SettingsError::SettingsError(DocumentProblems problems)
+    : UserError("settings_rejected",
+                FormatProblems(problems),
+                "correct the listed lines and start again"),
+      problems_(std::move(problems)) {}
+
+Settings ParseSettings(std::string_view toml) {
+  DocumentProblems problems;
+  const auto table = ParseToml(toml, problems);
+  if (!problems.empty()) {
+    throw SettingsError(std::move(problems));
+  }
+  auto out = ReadSettings(table, problems);
+  if (!problems.empty()) {
+    SortByLine(problems);
+    throw SettingsError(std::move(problems));
+  }
+  return out;
+}
+
+Settings LoadSettings(const std::string& path) {
+  const auto text = ReadFile(path);
+  if (!text) {
+    throw SettingsError({{0, fmt::format("\"{}\" cannot be read", path),
+                          "correct the path or the file's permissions"}});
+  }
+  return ParseSettings(*text);
+}
+
+}  // namespace crocuslatch
--- a/src/settings.h
+++ b/src/settings.h
@@ -40,9 +40,6 @@
   Millis store_timeout{1000};
   // Longest wait for an answer of a peer.
   Millis peer_timeout{1000};
-  // Longest wait of a planned stop for requests in flight. At its end the
-  // daemon goes on waiting and logs what is open.
-  Millis stop_notice{30000};
   bool operator==(const PeriodSettings&) const = default;
 };
 
