--- a/src/toml_reader.cc
+++ b/src/toml_reader.cc
@@ -93,7 +93,7 @@
 }
 
 const toml::node* TomlReader::Find(std::string_view key, Need need) {
-  known_.push_back(key);
+  known_.emplace_back(key);
   const auto* node = table_.get(key);
   if (node == nullptr && need == Need::kRequired) {
     Report(line(), fmt::format("{} has no \"{}\"", place_, key),
--- a/src/toml_reader.h
+++ b/src/toml_reader.h
@@ -94,7 +94,7 @@
   const toml::table& table_;
   std::string place_;
   DocumentProblems& problems_;
-  std::vector<std::string_view> known_;
+  std::vector<std::string> known_;
 };
 
 }  // namespace crocuslatch
