Apply ledger commands to the store by compare-and-swap

Cause: one write has to carry the commands of many budgets, and the result of a write can stay unknown. Change: shard_writer with group commit, read-back by nonce, segments for finished entries. Log event 305 reports a grant that the ledger denies. Ruled out: deleting a lost attempt's segments before a newer version is seen; a delayed write could still refer to them.

--- a/src/log.cc
+++ b/src/log.cc
@@ -39,6 +39,7 @@
       {LogEvent::kHolderFrozen, LogLevel::kWarning, "holder_frozen"},
       {LogEvent::kBillAboveReservation, LogLevel::kError,
        "bill_above_reservation"},
+      {LogEvent::kExchangeRejected, LogLevel::kError, "exchange_rejected"},
       {LogEvent::kStoreUnavailable, LogLevel::kWarning, "store_unavailable"},
       {LogEvent::kStoreRecovered, LogLevel::kInfo, "store_recovered"},
       {LogEvent::kStoreWriteUncertain, LogLevel::kWarning,
--- a/src/log.h
+++ b/src/log.h
@@ -34,6 +34,7 @@
   kShardSegmentSealed = 302,
   kHolderFrozen = 303,
   kBillAboveReservation = 304,
+  kExchangeRejected = 305,
   kStoreUnavailable = 400,
   kStoreRecovered = 401,
   kStoreWriteUncertain = 402,
--- a/src/shard_codec.cc
+++ b/src/shard_codec.cc
@@ -110,9 +110,9 @@
   const auto holder = Pack(builder, command.holder);
   const auto packed_bills = builder.CreateVectorOfStructs(bills);
   return {wire::CommandBody::ExchangeCommand,
-          wire::CreateExchangeCommand(builder, budget, holder, command.sequence,
-                                      packed_bills, command.returned,
-                                      command.want, command.least)
+          wire::CreateExchangeCommand(
+              builder, budget, holder, command.sequence, packed_bills,
+              command.returned, command.want, command.least, command.opens)
               .Union()};
 }
 
@@ -177,6 +177,7 @@
   command.returned = CheckAmount(table.returned());
   command.want = CheckAmount(table.want());
   command.least = CheckAmount(table.least());
+  command.opens = table.opens();
   return command;
 }
 
@@ -308,15 +309,30 @@
   return bills;
 }
 
+// Tables of the holders in one buffer: a holder has grants of many budgets.
+using HolderTables = std::map<HolderId, Offset<wire::Holder>>;
+
+Offset<wire::Holder> PackShared(FlatBufferBuilder& builder,
+                                HolderTables& tables,
+                                const HolderId& holder) {
+  const auto [it, is_new] = tables.try_emplace(holder);
+  if (is_new) {
+    it->second = Pack(builder, holder);
+  }
+  return it->second;
+}
+
 Offset<wire::BudgetRecord> Pack(FlatBufferBuilder& builder,
+                                HolderTables& holders,
                                 const std::string& name,
                                 const BudgetRecord& record) {
   std::vector<Offset<wire::GrantRecord>> grants;
   grants.reserve(record.grants.size());
   for (const auto& [holder, grant] : record.grants) {
     grants.push_back(wire::CreateGrantRecord(
-        builder, Pack(builder, holder), grant.outstanding, grant.last_sequence,
-        grant.last_granted, grant.frozen));
+        builder, PackShared(builder, holders, holder), grant.outstanding,
+        grant.last_sequence, grant.last_granted, grant.frozen,
+        grant.changed_ms));
   }
   const auto packed_name = builder.CreateString(name);
   const auto packed_grants = builder.CreateVector(grants);
@@ -333,9 +349,9 @@
   Tokens left = record.limit - record.billed - record.open_charges;
   if (table.grants()) {
     for (const auto* it : *table.grants()) {
-      const GrantRecord grant{CheckAmount(it->outstanding()),
-                              it->last_sequence(),
-                              CheckAmount(it->last_granted()), it->frozen()};
+      const GrantRecord grant{
+          CheckAmount(it->outstanding()), it->last_sequence(),
+          CheckAmount(it->last_granted()), it->frozen(), it->changed_ms()};
       left -= grant.outstanding;
       Require(left >= 0, "budget spent above its limit");
       Require(record.grants.emplace(Unpack(*it->holder()), grant).second,
@@ -527,10 +543,11 @@
 
 std::string EncodeShardState(const ShardState& state) {
   FlatBufferBuilder builder;
+  HolderTables holders;
   std::vector<Offset<wire::BudgetRecord>> budgets;
   budgets.reserve(state.budgets.size());
   for (const auto& [name, record] : state.budgets) {
-    budgets.push_back(Pack(builder, name, record));
+    budgets.push_back(Pack(builder, holders, name, record));
   }
   const auto packed_budgets = builder.CreateVector(budgets);
   const auto claims = PackClaims(builder, state.claims);
--- a/src/shard_state.cc
+++ b/src/shard_state.cc
@@ -104,6 +104,14 @@
   }
 }
 
+// True if the exchange comes after the last one of its holder. A holder that
+// holds nothing may skip numbers: its record was dropped, and perhaps made
+// again by a late copy of an older exchange.
+bool IsNext(const GrantRecord& grant, const ExchangeCommand& command) {
+  return command.sequence == grant.last_sequence + 1 ||
+         (command.opens && command.sequence > grant.last_sequence);
+}
+
 ShardReply ApplyOne(ShardState& state,
                     const ExchangeCommand& command,
                     std::int64_t now_ms) {
@@ -112,20 +120,24 @@
     return StatusReply(ReplyStatus::kUnknownBudget);
   }
   const auto found = budget->grants.find(command.holder);
-  const GrantRecord before =
+  GrantRecord before =
       found == budget->grants.end() ? GrantRecord{} : found->second;
   if (command.sequence != 0 && command.sequence == before.last_sequence) {
     ShardReply reply = BalanceReply(ReplyStatus::kOk, *budget, command.holder);
     reply.granted = before.last_granted;
     return reply;
   }
-  if (command.sequence != before.last_sequence + 1) {
+  if (!IsNext(before, command)) {
     return BalanceReply(ReplyStatus::kBadSequence, *budget, command.holder);
   }
+  if (command.opens) {
+    before.outstanding = 0;
+  }
   if (!Covers(before.outstanding, command)) {
     return BalanceReply(ReplyStatus::kNotHeld, *budget, command.holder);
   }
   GrantRecord& grant = budget->grants[command.holder];
+  grant.outstanding = before.outstanding;
   SettleBills(state, *budget, grant, command.bills, now_ms);
   grant.outstanding -= command.returned;
   const Tokens granted = GrantSize(command, Available(*budget));
@@ -133,6 +145,7 @@
   grant.last_sequence = command.sequence;
   grant.last_granted = granted;
   grant.frozen = false;
+  grant.changed_ms = now_ms;
   CheckInvariant(*budget);
   ShardReply reply = BalanceReply(ReplyStatus::kOk, *budget, command.holder);
   reply.granted = granted;
--- a/src/shard_state.h
+++ b/src/shard_state.h
@@ -28,6 +28,9 @@
   HolderId holder;
   // Starts at 1 and rises by 1.
   std::uint64_t sequence = 0;
+  // The holder holds nothing of the budget, so that it settles and returns
+  // nothing and its record may have been dropped since its last exchange.
+  bool opens = false;
   std::vector<Bill> bills;
   Tokens returned = 0;
   // Grant asked for; less than `least` is granted only as 0.
@@ -128,6 +131,9 @@
   // What the exchange `last_sequence` was granted, for repeats.
   Tokens last_granted = 0;
   bool frozen = false;
+  // Wall-clock time of the last exchange, milliseconds since 1970; decides
+  // when a record without outstanding tokens is dropped.
+  std::int64_t changed_ms = 0;
   bool operator==(const GrantRecord&) const = default;
 };
 
@@ -169,7 +175,8 @@
   // The attempt does not hold the claim, or the holder settles or returns
   // more than it was granted.
   kNotHeld,
-  // A sequence other than the last one or the next one.
+  // A sequence other than the last one or the next one. A holder that gets
+  // it for its latest exchange has no outstanding tokens in the ledger.
   kBadSequence,
 };
 
--- /dev/null
+++ b/src/shard_writer.cc
@@ -0,0 +1,710 @@
+#include "src/shard_writer.h"
+
+#include <fmt/format.h>
+
+#include <QDateTime>
+#include <QRandomGenerator>
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <optional>
+#include <utility>
+
+#include "src/error.h"
+#include "src/log.h"
+#include "src/shard_codec.h"
+
+namespace crocuslatch {
+namespace {
+
+// Segments read at the same time when a shard is loaded.
+constexpr std::size_t kMaxSegmentReads = 16;
+
+// One call of the writer: commands that are applied together.
+struct Pending {
+  std::vector<ShardCommand> commands;
+  Millis deadline{0};
+  // Latest time at which its write starts.
+  Millis write_by{0};
+  // Empty once answered.
+  LedgerCallback callback;
+};
+
+using PendingList = std::vector<std::shared_ptr<Pending>>;
+
+struct LoadedSegment {
+  ShardSegment entries;
+  // Version of the stored value, to remove it.
+  std::uint64_t version = 0;
+  // Newest entry of each kind; 0 if there is none.
+  std::int64_t newest_bill_ms = 0;
+  std::int64_t newest_claim_ms = 0;
+};
+
+using SegmentCache =
+    std::map<std::string, std::shared_ptr<const LoadedSegment>>;
+
+struct Shard {
+  std::uint32_t number = 0;
+  bool loaded = false;
+  ShardState state;
+  std::uint64_t version = 0;
+  SegmentCache segments;
+  // Calls without an answer.
+  PendingList queue;
+  // A load or a write is in progress or waits for its next try.
+  bool busy = false;
+  Millis backoff{0};
+  // Earliest wake-up set for calls that may wait; max() if none.
+  Millis wake_at = Millis::max();
+  Millis used_at{0};
+};
+
+struct NewSegment {
+  std::string key;
+  std::string value;
+  ShardSegment entries;
+  // Set once written.
+  std::uint64_t version = 0;
+};
+
+// One try to bring a batch into the store.
+struct Attempt {
+  PendingList batch;
+  std::vector<std::vector<ShardReply>> replies;
+  ShardState next;
+  std::uint64_t base_version = 0;
+  std::uint64_t nonce = 0;
+  std::vector<NewSegment> new_segments;
+  bool changed = false;
+};
+
+bool OnlySettles(const ShardCommand& command) {
+  const auto* exchange = std::get_if<ExchangeCommand>(&command);
+  return exchange && exchange->want == 0 && exchange->returned == 0;
+}
+
+std::shared_ptr<const LoadedSegment> MakeLoadedSegment(ShardSegment entries,
+                                                       std::uint64_t version) {
+  auto segment = std::make_shared<LoadedSegment>();
+  for (const auto& it : entries.bills) {
+    segment->newest_bill_ms =
+        std::max(segment->newest_bill_ms, it.second.billed_ms);
+  }
+  for (const auto& it : entries.claims) {
+    segment->newest_claim_ms =
+        std::max(segment->newest_claim_ms, it.second.changed_ms);
+  }
+  segment->entries = std::move(entries);
+  segment->version = version;
+  return segment;
+}
+
+// Entries of segments that are put into the state while commands that name
+// their keys are applied.
+struct Recalled {
+  std::vector<RequestKey> bills;
+  std::map<RequestKey, const ClaimRecord*> claims;
+};
+
+// The newest segment wins: a record may move to a segment more than once.
+template <typename Map>
+const typename Map::mapped_type* FindInSegments(const Shard& shard,
+                                                Map ShardSegment::*entries,
+                                                const RequestKey& key) {
+  for (auto it = shard.state.segments.rbegin();
+       it != shard.state.segments.rend(); ++it) {
+    const auto& map = shard.segments.at(*it)->entries.*entries;
+    const auto found = map.find(key);
+    if (found != map.end()) {
+      return &found->second;
+    }
+  }
+  return nullptr;
+}
+
+void RecallBill(const Shard& shard,
+                ShardState& state,
+                Recalled& recalled,
+                const RequestKey& key) {
+  if (state.bills.contains(key)) {
+    return;
+  }
+  if (const auto* it = FindInSegments(shard, &ShardSegment::bills, key)) {
+    state.bills.emplace(key, *it);
+    recalled.bills.push_back(key);
+  }
+}
+
+void RecallClaim(const Shard& shard,
+                 ShardState& state,
+                 Recalled& recalled,
+                 const RequestKey& key) {
+  if (state.claims.contains(key)) {
+    return;
+  }
+  if (const auto* it = FindInSegments(shard, &ShardSegment::claims, key)) {
+    state.claims.emplace(key, *it);
+    recalled.claims.emplace(key, it);
+  }
+}
+
+void RecallEntries(const Shard& shard,
+                   ShardState& state,
+                   Recalled& recalled,
+                   const ShardCommand& command) {
+  std::visit(
+      [&](const auto& it) {
+        if constexpr (requires { it.bills; }) {
+          for (const auto& bill : it.bills) {
+            RecallBill(shard, state, recalled, bill.key);
+          }
+        } else if constexpr (requires { it.key; }) {
+          RecallClaim(shard, state, recalled, it.key);
+        }
+      },
+      command);
+}
+
+// Takes entries that the commands did not change out of the state again.
+void PutBack(ShardState& state, const Recalled& recalled) {
+  for (const auto& it : recalled.bills) {
+    state.bills.erase(it);
+  }
+  for (const auto& [key, record] : recalled.claims) {
+    if (state.claims.at(key) == *record) {
+      state.claims.erase(key);
+    }
+  }
+}
+
+// Drops what deduplication and repeats need no longer.
+void DropOldEntries(const ShardWriterOptions& options,
+                    const SegmentCache& segments,
+                    std::int64_t now_ms,
+                    ShardState& state) {
+  const std::int64_t bill_end = now_ms - options.bill_retention.count();
+  const std::int64_t claim_end = now_ms - options.claim_retention.count();
+  std::erase_if(state.bills,
+                [&](const auto& it) { return it.second.billed_ms < bill_end; });
+  std::erase_if(state.claims, [&](const auto& it) {
+    return it.second.state != ClaimState::kClaimed &&
+           it.second.changed_ms < claim_end;
+  });
+  std::erase_if(state.segments, [&](const auto& it) {
+    const auto& segment = *segments.at(it);
+    return segment.newest_bill_ms < bill_end &&
+           segment.newest_claim_ms < claim_end;
+  });
+  for (auto& [name, budget] : state.budgets) {
+    std::erase_if(budget.grants, [&](const auto& it) {
+      return it.second.outstanding == 0 && it.second.changed_ms < bill_end;
+    });
+  }
+}
+
+void AddSegment(Attempt& attempt, std::uint32_t shard, ShardSegment entries) {
+  NewSegment segment;
+  segment.key = fmt::format("{}/{:016x}-{}", ShardKey(shard), attempt.nonce,
+                            attempt.new_segments.size());
+  entries.shard = shard;
+  segment.value = EncodeShardSegment(entries);
+  segment.entries = std::move(entries);
+  attempt.next.segments.push_back(segment.key);
+  attempt.new_segments.push_back(std::move(segment));
+}
+
+void SealBills(const ShardWriterOptions& options,
+               std::uint32_t shard,
+               Attempt& attempt) {
+  if (attempt.next.bills.size() <= options.max_recent_entries) {
+    return;
+  }
+  ShardSegment entries;
+  entries.bills = std::exchange(attempt.next.bills, {});
+  AddSegment(attempt, shard, std::move(entries));
+}
+
+void SealClaims(const ShardWriterOptions& options,
+                std::uint32_t shard,
+                Attempt& attempt) {
+  std::vector<std::pair<std::int64_t, RequestKey>> finished;
+  std::size_t bytes = 0;
+  for (const auto& [key, record] : attempt.next.claims) {
+    if (record.state != ClaimState::kClaimed) {
+      finished.emplace_back(record.changed_ms, key);
+      bytes += record.body.size();
+    }
+  }
+  if (finished.size() <= options.max_recent_entries &&
+      bytes <= options.max_recent_bytes) {
+    return;
+  }
+  std::ranges::sort(finished);
+  ShardSegment entries;
+  std::size_t segment_bytes = 0;
+  for (const auto& it : finished) {
+    auto node = attempt.next.claims.extract(it.second);
+    const std::size_t size = node.mapped().body.size();
+    if (segment_bytes > 0 && segment_bytes + size > options.max_recent_bytes) {
+      AddSegment(attempt, shard, std::exchange(entries, {}));
+      segment_bytes = 0;
+    }
+    segment_bytes += size;
+    entries.claims.insert(std::move(node));
+  }
+  AddSegment(attempt, shard, std::move(entries));
+}
+
+std::optional<ShardState> DecodeOwnState(std::uint32_t shard,
+                                         const std::string& value) {
+  try {
+    ShardState state = DecodeShardState(value);
+    if (state.shard == shard) {
+      return state;
+    }
+    Log(LogEvent::kShardUnreadable, "{} holds shard {}", ShardKey(shard),
+        state.shard);
+  } catch (const UserError& e) {
+    Log(LogEvent::kShardUnreadable, "{}: {}; {}", ShardKey(shard), e.what(),
+        e.remedy());
+  }
+  return std::nullopt;
+}
+
+// The state in an answer of the store; nullopt if the answer has none.
+std::optional<ShardState> StateIn(std::uint32_t shard,
+                                  const StoreResult& result) {
+  if (result.status == StoreStatus::kOk) {
+    return DecodeOwnState(shard, result.value);
+  }
+  if (result.status == StoreStatus::kNotFound) {
+    ShardState state;
+    state.shard = shard;
+    return state;
+  }
+  return std::nullopt;
+}
+
+class Writer : public std::enable_shared_from_this<Writer> {
+ public:
+  Writer(ShardWriterOptions options, Store store, EventLoop loop)
+      : options_(std::move(options)),
+        store_(std::move(store)),
+        loop_(std::move(loop)) {}
+
+  void Submit(std::uint32_t number,
+              std::vector<ShardCommand> commands,
+              Millis timeout,
+              LedgerCallback callback) {
+    DropUnusedShards();
+    const auto shard = ShardFor(number);
+    auto pending = std::make_shared<Pending>();
+    const bool may_wait = std::ranges::all_of(commands, OnlySettles);
+    pending->commands = std::move(commands);
+    pending->deadline = loop_.now() + timeout;
+    // A call with a short timeout waits less, so that the write can end.
+    const Millis wait = std::min(options_.settle_delay, timeout / 2);
+    pending->write_by = loop_.now() + (may_wait ? wait : Millis{0});
+    pending->callback = std::move(callback);
+    shard->queue.push_back(pending);
+    loop_.after(timeout, [self = weak_from_this(), shard] {
+      if (const auto it = self.lock()) {
+        it->Expire(*shard);
+      }
+    });
+    Start(shard);
+  }
+
+ private:
+  using ShardPtr = std::shared_ptr<Shard>;
+  using AttemptPtr = std::shared_ptr<Attempt>;
+
+  ShardPtr ShardFor(std::uint32_t number) {
+    auto& shard = shards_[number];
+    if (!shard) {
+      shard = std::make_shared<Shard>();
+      shard->number = number;
+      shard->backoff = options_.retry_min;
+    }
+    shard->used_at = loop_.now();
+    return shard;
+  }
+
+  void DropUnusedShards() {
+    std::erase_if(shards_, [&](const auto& it) {
+      const Shard& shard = *it.second;
+      return !shard.busy && shard.queue.empty() &&
+             shard.used_at + options_.cache_time < loop_.now();
+    });
+  }
+
+  // Answers the calls whose time is over. They take no part in later writes.
+  void Expire(Shard& shard) {
+    const auto now = loop_.now();
+    std::vector<LedgerCallback> callbacks;
+    std::erase_if(shard.queue, [&](const auto& it) {
+      if (it->deadline > now) {
+        return false;
+      }
+      callbacks.push_back(std::exchange(it->callback, nullptr));
+      return true;
+    });
+    for (const auto& it : callbacks) {
+      it(LedgerStatus::kUnknown, {});
+    }
+  }
+
+  // Begins a write if one is due and none is in progress.
+  void Start(const ShardPtr& shard) {
+    if (shard->busy || shard->queue.empty()) {
+      return;
+    }
+    const auto due =
+        (*std::ranges::min_element(shard->queue, {}, [](const auto& it) {
+          return it->write_by;
+        }))->write_by;
+    if (due <= loop_.now()) {
+      shard->busy = true;
+      Run(shard);
+      return;
+    }
+    if (due < shard->wake_at) {
+      shard->wake_at = due;
+      loop_.after(due - loop_.now(), [self = shared_from_this(), shard] {
+        shard->wake_at = Millis::max();
+        self->Start(shard);
+      });
+    }
+  }
+
+  // Does the next step towards a write; `busy` is set.
+  void Run(const ShardPtr& shard) {
+    Expire(*shard);
+    if (shard->queue.empty()) {
+      shard->busy = false;
+    } else if (!shard->loaded) {
+      Load(shard);
+    } else if (HasMissingSegments(*shard)) {
+      LoadSegments(shard);
+    } else {
+      Try(shard);
+    }
+  }
+
+  void RunLater(const ShardPtr& shard) {
+    After(shard, [self = shared_from_this(), shard] { self->Run(shard); });
+  }
+
+  // Runs the task after a delay that doubles, with jitter so that writers in
+  // conflict do not meet again.
+  void After(const ShardPtr& shard, Task task) {
+    const auto half = shard->backoff.count() / 2;
+    const Millis jitter(static_cast<std::int64_t>(
+        options_.random() % static_cast<std::uint64_t>(half + 1)));
+    const Millis delay = shard->backoff - Millis(half) + jitter;
+    shard->backoff = std::min(shard->backoff * 2, options_.retry_max);
+    loop_.after(delay, std::move(task));
+  }
+
+  void Load(const ShardPtr& shard) {
+    store_.get(ShardKey(shard->number),
+               [self = shared_from_this(), shard](const StoreResult& result) {
+                 if (auto state = StateIn(shard->number, result)) {
+                   Adopt(*shard, std::move(*state), result.version);
+                   self->Run(shard);
+                 } else {
+                   self->RunLater(shard);
+                 }
+               });
+  }
+
+  static void Adopt(Shard& shard, ShardState state, std::uint64_t version) {
+    shard.loaded = true;
+    shard.state = std::move(state);
+    shard.version = version;
+    const auto& listed = shard.state.segments;
+    std::erase_if(shard.segments, [&](const auto& it) {
+      return std::ranges::find(listed, it.first) == listed.end();
+    });
+  }
+
+  static bool HasMissingSegments(const Shard& shard) {
+    return std::ranges::any_of(shard.state.segments, [&](const auto& it) {
+      return !shard.segments.contains(it);
+    });
+  }
+
+  void LoadSegments(const ShardPtr& shard) {
+    std::vector<std::string> keys;
+    for (const auto& it : shard->state.segments) {
+      if (!shard->segments.contains(it) && keys.size() < kMaxSegmentReads) {
+        keys.push_back(it);
+      }
+    }
+    struct Reads {
+      std::size_t left = 0;
+      bool failed = false;
+    };
+    const auto reads = std::make_shared<Reads>();
+    reads->left = keys.size();
+    for (const auto& it : keys) {
+      store_.get(it, [self = shared_from_this(), shard, reads,
+                      key = it](const StoreResult& result) {
+        reads->failed |= !AddLoadedSegment(*shard, key, result);
+        reads->left -= 1;
+        if (reads->left > 0) {
+          return;
+        }
+        if (reads->failed) {
+          self->RunLater(shard);
+        } else {
+          self->Run(shard);
+        }
+      });
+    }
+  }
+
+  static bool AddLoadedSegment(Shard& shard,
+                               const std::string& key,
+                               const StoreResult& result) {
+    if (result.status == StoreStatus::kNotFound) {
+      // Another writer dropped the segment with a newer shard value, or it is
+      // lost; then nothing is written, as bills could be repeated.
+      Log(LogEvent::kShardUnreadable, "{} is missing", key);
+      shard.loaded = false;
+    }
+    if (result.status != StoreStatus::kOk) {
+      return false;
+    }
+    try {
+      shard.segments[key] =
+          MakeLoadedSegment(DecodeShardSegment(result.value), result.version);
+      return true;
+    } catch (const UserError& e) {
+      Log(LogEvent::kShardUnreadable, "{}: {}", key, e.what());
+      return false;
+    }
+  }
+
+  // Applies all queued commands to a copy of the state and stores it.
+  void Try(const ShardPtr& shard) {
+    const auto attempt = MakeAttempt(*shard);
+    if (attempt->changed) {
+      WriteSegments(shard, attempt, 0);
+    } else {
+      Confirm(shard, attempt);
+    }
+  }
+
+  AttemptPtr MakeAttempt(const Shard& shard) {
+    const std::int64_t now_ms = options_.wall_ms();
+    auto attempt = std::make_shared<Attempt>();
+    attempt->batch = shard.queue;
+    attempt->next = shard.state;
+    attempt->base_version = shard.version;
+    attempt->nonce = options_.random();
+    Recalled recalled;
+    for (const auto& it : attempt->batch) {
+      auto& replies = attempt->replies.emplace_back();
+      for (const auto& command : it->commands) {
+        RecallEntries(shard, attempt->next, recalled, command);
+        replies.push_back(Apply(attempt->next, command, now_ms));
+      }
+    }
+    PutBack(attempt->next, recalled);
+    attempt->changed = attempt->next != shard.state;
+    if (attempt->changed) {
+      DropOldEntries(options_, shard.segments, now_ms, attempt->next);
+      SealBills(options_, shard.number, *attempt);
+      SealClaims(options_, shard.number, *attempt);
+      attempt->next.writer = attempt->nonce;
+    }
+    return attempt;
+  }
+
+  // Commands that change nothing need no write, but the cached state that
+  // answers them must still be the stored one.
+  void Confirm(const ShardPtr& shard, const AttemptPtr& attempt) {
+    store_.get(ShardKey(shard->number), [self = shared_from_this(), shard,
+                                         attempt](const StoreResult& result) {
+      auto state = StateIn(shard->number, result);
+      if (!state) {
+        shard->loaded = false;
+        self->RunLater(shard);
+      } else if (result.version == attempt->base_version) {
+        self->Finish(shard, attempt);
+      } else {
+        Adopt(*shard, std::move(*state), result.version);
+        self->Run(shard);
+      }
+    });
+  }
+
+  // Segments are stored before the value that lists them. An uncertain
+  // segment is given up with its attempt: nothing refers to it.
+  void WriteSegments(const ShardPtr& shard,
+                     const AttemptPtr& attempt,
+                     std::size_t index) {
+    if (index == attempt->new_segments.size()) {
+      WriteValue(shard, attempt);
+      return;
+    }
+    const auto& segment = attempt->new_segments[index];
+    store_.put(segment.key, segment.value, 0,
+               [self = shared_from_this(), shard, attempt,
+                index](const StoreResult& result) {
+                 if (result.status != StoreStatus::kOk) {
+                   self->RunLater(shard);
+                   return;
+                 }
+                 auto& written = attempt->new_segments[index];
+                 written.version = result.version;
+                 Log(LogEvent::kShardSegmentSealed, "{}", written.key);
+                 self->WriteSegments(shard, attempt, index + 1);
+               });
+  }
+
+  void WriteValue(const ShardPtr& shard, const AttemptPtr& attempt) {
+    store_.put(
+        ShardKey(shard->number), EncodeShardState(attempt->next),
+        attempt->base_version,
+        [self = shared_from_this(), shard, attempt](const StoreResult& result) {
+          if (result.status == StoreStatus::kOk) {
+            self->Commit(shard, attempt, result.version);
+            return;
+          }
+          if (result.status == StoreStatus::kVersionConflict) {
+            Log(LogEvent::kShardConflict, "{}", ShardKey(shard->number));
+          } else {
+            Log(LogEvent::kStoreWriteUncertain, "{}", ShardKey(shard->number));
+          }
+          // A conflict is read back as well: a transport that sent the write
+          // twice reports the second copy.
+          self->ReadBackLater(shard, attempt);
+        });
+  }
+
+  void ReadBackLater(const ShardPtr& shard, const AttemptPtr& attempt) {
+    After(shard, [self = shared_from_this(), shard, attempt] {
+      self->ReadBack(shard, attempt);
+    });
+  }
+
+  void ReadBack(const ShardPtr& shard, const AttemptPtr& attempt) {
+    Expire(*shard);
+    if (shard->queue.empty()) {
+      shard->loaded = false;
+      shard->busy = false;
+      return;
+    }
+    store_.get(ShardKey(shard->number), [self = shared_from_this(), shard,
+                                         attempt](const StoreResult& result) {
+      auto state = StateIn(shard->number, result);
+      if (!state) {
+        self->ReadBackLater(shard, attempt);
+      } else if (result.version != 0 && state->writer == attempt->nonce) {
+        self->Commit(shard, attempt, result.version);
+      } else {
+        Adopt(*shard, std::move(*state), result.version);
+        self->RemoveGarbage(*shard, *attempt);
+        self->Run(shard);
+      }
+    });
+  }
+
+  // Removes segments of an attempt that lost. While the base version is still
+  // the stored one, the attempt's write may take effect later.
+  void RemoveGarbage(const Shard& shard, const Attempt& attempt) {
+    if (shard.version == attempt.base_version) {
+      return;
+    }
+    const auto& listed = shard.state.segments;
+    for (const auto& it : attempt.new_segments) {
+      if (std::ranges::find(listed, it.key) == listed.end()) {
+        store_.remove(it.key, it.version, [](const StoreResult&) {});
+      }
+    }
+  }
+
+  void Commit(const ShardPtr& shard,
+              const AttemptPtr& attempt,
+              std::uint64_t version) {
+    for (auto& it : attempt->new_segments) {
+      shard->segments[it.key] =
+          MakeLoadedSegment(std::move(it.entries), it.version);
+    }
+    RemoveDroppedSegments(*shard, attempt->next);
+    Adopt(*shard, std::move(attempt->next), version);
+    Finish(shard, attempt);
+  }
+
+  // Removes segments past retention from the store. A failed removal leaves
+  // an unreferenced value.
+  void RemoveDroppedSegments(const Shard& shard, const ShardState& next) {
+    for (const auto& it : shard.state.segments) {
+      if (std::ranges::find(next.segments, it) == next.segments.end()) {
+        store_.remove(it, shard.segments.at(it)->version,
+                      [](const StoreResult&) {});
+      }
+    }
+  }
+
+  // Answers the batch and goes on with what queued meanwhile.
+  void Finish(const ShardPtr& shard, const AttemptPtr& attempt) {
+    shard->backoff = options_.retry_min;
+    shard->busy = false;
+    std::erase_if(shard->queue, [&](const auto& it) {
+      return std::ranges::find(attempt->batch, it) != attempt->batch.end();
+    });
+    for (std::size_t i = 0; i < attempt->batch.size(); ++i) {
+      const auto callback = std::exchange(attempt->batch[i]->callback, nullptr);
+      if (callback) {
+        callback(LedgerStatus::kDurable, attempt->replies[i]);
+      }
+    }
+    Start(shard);
+  }
+
+  ShardWriterOptions options_;
+  Store store_;
+  EventLoop loop_;
+  std::map<std::uint32_t, ShardPtr> shards_;
+};
+
+}  // namespace
+
+ShardWriterOptions MakeShardWriterOptions() {
+  ShardWriterOptions options;
+  options.wall_ms = [] { return QDateTime::currentMSecsSinceEpoch(); };
+  options.random = [] { return QRandomGenerator::system()->generate64(); };
+  return options;
+}
+
+std::string ShardKey(std::uint32_t shard) {
+  return fmt::format("ledger/{}", shard);
+}
+
+ApplyToShard MakeShardWriter(ShardWriterOptions options,
+                             Store store,
+                             EventLoop loop) {
+  const auto writer = std::make_shared<Writer>(
+      std::move(options), std::move(store), std::move(loop));
+  return [writer](std::uint32_t shard, std::vector<ShardCommand> commands,
+                  Millis timeout, LedgerCallback callback) {
+    writer->Submit(shard, std::move(commands), timeout, std::move(callback));
+  };
+}
+
+void ReadShard(const Store& store,
+               std::uint32_t shard,
+               std::function<void(StoreStatus, const ShardState&)> callback) {
+  store.get(ShardKey(shard),
+            [shard, callback = std::move(callback)](const StoreResult& result) {
+              const auto state = StateIn(shard, result);
+              callback(state ? StoreStatus::kOk : StoreStatus::kUnknown,
+                       state.value_or(ShardState{}));
+            });
+}
+
+}  // namespace crocuslatch
