Add the grant table and the route of ledger commands

Cause: requests reserve from local grants, and exchanges settle and refill them through the preferred writer. A recalled holder returns its free tokens even with waiters, in the exchange that asks again, so two short holders cannot block each other. Ruled out: remembering an exhausted budget; a top-up meanwhile would be refused falsely.

--- /dev/null
+++ b/src/grant_table.cc
@@ -0,0 +1,727 @@
+#include "src/grant_table.h"
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <utility>
+
+#include "src/error.h"
+#include "src/log.h"
+
+namespace crocuslatch {
+namespace {
+
+// Keeps one exchange far below the size limits of frames and stored values.
+constexpr std::size_t kMaxBillsPerExchange = 1000;
+
+// The grant is refilled when less than this part of the recent use is free.
+constexpr Tokens kLowWaterDivisor = 4;
+
+// Records of recent use for one window.
+constexpr int kUseSteps = 10;
+
+struct Waiter {
+  std::uint64_t id = 0;
+  Tokens amount = 0;
+  std::function<void(ReserveStatus)> callback;
+  // A durable reply said that the budget does not cover the amount.
+  bool is_short = false;
+};
+
+struct Use {
+  Millis at{0};
+  Tokens amount = 0;
+};
+
+struct InFlight {
+  ExchangeCommand exchange;
+  // All commands of the call, kept for repeats.
+  std::vector<ShardCommand> commands;
+  Tokens limit = 0;
+  // Newest waiter when the exchange was sized; 0 if there was none.
+  std::uint64_t last_waiter = 0;
+};
+
+struct Budget {
+  Tokens free = 0;
+  Tokens reserved = 0;
+  Tokens unsettled = 0;
+  // Not yet part of an exchange.
+  std::vector<Bill> bills;
+  std::optional<InFlight> in_flight;
+  std::uint64_t sequence = 0;
+  Tokens limit_sent = 0;
+  std::deque<Waiter> waiters;
+  std::deque<Use> uses;
+  Millis used_at{0};
+  // When the oldest entry of `bills` has to be settled.
+  Millis settle_at = Millis::max();
+  // No exchange for waiters, or for a refill, before these times.
+  Millis ask_after{0};
+  Millis refill_after{0};
+  // Earliest wake-up that is set; max() if none.
+  Millis wake_at = Millis::max();
+  // End of the wait for other holders, once a grant fell short.
+  std::optional<Millis> recall_until;
+  bool is_recalled = false;
+};
+
+// What has to run once the lock is free.
+using Tasks = std::vector<Task>;
+
+Tokens BilledIn(const ExchangeCommand& exchange) {
+  Tokens sum = 0;
+  for (const auto& it : exchange.bills) {
+    sum += it.amount;
+  }
+  return sum;
+}
+
+bool HoldsNothing(const Budget& budget) {
+  return budget.free + budget.reserved + budget.unsettled == 0;
+}
+
+bool IsAtRest(const Budget& budget) {
+  return !budget.in_flight && HoldsNothing(budget);
+}
+
+Tokens RecentUse(const Budget& budget, Millis since) {
+  Tokens sum = budget.reserved;
+  for (const auto& it : budget.uses) {
+    sum += it.at >= since ? it.amount : 0;
+  }
+  return sum;
+}
+
+void AddUse(Budget& budget, Tokens amount, Millis now, Millis window) {
+  while (!budget.uses.empty() && budget.uses.front().at < now - window) {
+    budget.uses.pop_front();
+  }
+  if (budget.uses.empty() || budget.uses.back().at < now - window / kUseSteps) {
+    budget.uses.push_back({now, 0});
+  }
+  budget.uses.back().amount += amount;
+}
+
+void EndWaiter(Waiter& waiter, ReserveStatus status, Tasks& tasks) {
+  tasks.emplace_back(
+      [callback = std::move(waiter.callback), status] { callback(status); });
+}
+
+void EndAllWaiters(Budget& budget, ReserveStatus status, Tasks& tasks) {
+  for (auto& it : budget.waiters) {
+    EndWaiter(it, status, tasks);
+  }
+  budget.waiters.clear();
+}
+
+void ReserveNow(Budget& budget, Tokens amount, Millis now) {
+  budget.free -= amount;
+  budget.reserved += amount;
+  budget.used_at = now;
+}
+
+// Serves waiters in order while the grant covers them.
+void ServeWaiters(Budget& budget, Millis now, Tasks& tasks) {
+  auto& waiters = budget.waiters;
+  while (!waiters.empty() && waiters.front().amount <= budget.free) {
+    ReserveNow(budget, waiters.front().amount, now);
+    EndWaiter(waiters.front(), ReserveStatus::kReserved, tasks);
+    waiters.pop_front();
+  }
+}
+
+// Refuses what is at least as large as the first waiter and was there when
+// the exchange that fell short was sized.
+void RefuseShort(Budget& budget, std::uint64_t last_waiter, Tasks& tasks) {
+  const Tokens amount = budget.waiters.front().amount;
+  std::erase_if(budget.waiters, [&](auto& it) {
+    const bool refused = it.amount >= amount && it.id <= last_waiter;
+    if (refused) {
+      EndWaiter(it, ReserveStatus::kInsufficient, tasks);
+    }
+    return refused;
+  });
+}
+
+}  // namespace
+
+struct GrantTable::Core : std::enable_shared_from_this<GrantTable::Core> {
+  using LimitFunction =
+      std::function<std::optional<Tokens>(const std::string&)>;
+
+  Core(GrantTableOptions options,
+       HolderId holder,
+       EventLoop loop,
+       ApplyToShard apply,
+       LimitFunction limit)
+      : options_(std::move(options)),
+        holder_(std::move(holder)),
+        loop_(std::move(loop)),
+        apply_(std::move(apply)),
+        limit_(std::move(limit)) {}
+
+  void Reserve(const std::string& name,
+               Tokens amount,
+               Millis wait,
+               std::function<void(ReserveStatus)> callback);
+  void Settle(const std::string& name, Tokens reserved, const Bill& bill);
+  void Recall(const std::string& name);
+  void ReturnAll(std::function<void()> callback);
+  std::vector<HeldGrant> Held() const;
+  void SweepLater();
+
+ private:
+  // Runs the function with the core if it still exists.
+  template <typename Function>
+  Task Weakly(Function function) {
+    return [self = weak_from_this(), function = std::move(function)] {
+      if (const auto it = self.lock()) {
+        function(*it);
+      }
+    };
+  }
+
+  void PostAll(Tasks tasks) {
+    for (auto& it : tasks) {
+      loop_.post(std::move(it));
+    }
+  }
+
+  void PumpSoon(const std::string& name) {
+    loop_.post(Weakly([name](Core& it) { it.Pump(name); }));
+  }
+
+  void PumpAfter(const std::string& name, Millis delay) {
+    loop_.after(delay, Weakly([name](Core& it) { it.Pump(name); }));
+  }
+
+  bool TryReserve(const std::string& name, Tokens amount);
+  bool IsLow(const Budget& budget) const;
+  Tokens Want(const Budget& budget, Tokens free) const;
+  Tokens ToReturn(const Budget& budget) const;
+  bool IsSettleDue(const Budget& budget) const;
+  std::optional<ExchangeCommand> Plan(const std::string& name,
+                                      const Budget& budget) const;
+  const std::vector<ShardCommand>& Begin(Budget& budget,
+                                         const ExchangeCommand& exchange,
+                                         std::optional<Tokens> limit);
+  std::optional<Millis> NextWake(const Budget& budget) const;
+  void ExpireWaiter(const std::string& name, std::uint64_t id);
+  void Pump(const std::string& name);
+  void Wake(const std::string& name);
+  void Send(const std::string& name, const std::vector<ShardCommand>& commands);
+  void Resend(const std::string& name);
+  void OnReply(const std::string& name,
+               LedgerStatus status,
+               const std::vector<ShardReply>& replies);
+  void Acknowledge(const std::string& name,
+                   Budget& budget,
+                   const InFlight& sent,
+                   const ShardReply& reply,
+                   Tasks& tasks);
+  void Judge(const std::string& name,
+             Budget& budget,
+             const InFlight& sent,
+             const ShardReply& reply,
+             Tasks& tasks);
+  void Forfeit(const std::string& name,
+               Budget& budget,
+               const ShardReply& reply,
+               Tasks& tasks);
+  void Sweep();
+  void TakeStopCallbacks(Tasks& tasks);
+
+  const GrantTableOptions options_;
+  const HolderId holder_;
+  const EventLoop loop_;
+  const ApplyToShard apply_;
+  const LimitFunction limit_;
+
+  mutable std::mutex mutex_;
+  // Guarded by mutex_.
+  std::map<std::string, Budget> budgets_;
+  std::uint64_t last_waiter_ = 0;
+  bool is_stopping_ = false;
+  std::vector<std::function<void()>> stop_callbacks_;
+};
+
+bool GrantTable::Core::TryReserve(const std::string& name, Tokens amount) {
+  bool is_low = false;
+  {
+    const std::lock_guard lock(mutex_);
+    const auto it = budgets_.find(name);
+    if (is_stopping_ || it == budgets_.end() || !it->second.waiters.empty() ||
+        amount > it->second.free) {
+      return false;
+    }
+    ReserveNow(it->second, amount, loop_.now());
+    is_low = !it->second.in_flight && IsLow(it->second);
+  }
+  if (is_low) {
+    PumpSoon(name);
+  }
+  return true;
+}
+
+void GrantTable::Core::Reserve(const std::string& name,
+                               Tokens amount,
+                               Millis wait,
+                               std::function<void(ReserveStatus)> callback) {
+  CROCUSLATCH_ASSERT(amount >= 0);
+  Tasks tasks;
+  Waiter waiter{0, amount, std::move(callback)};
+  if (TryReserve(name, amount)) {
+    EndWaiter(waiter, ReserveStatus::kReserved, tasks);
+    PostAll(std::move(tasks));
+    return;
+  }
+  // The document's lock comes before this table's, so the limit is read
+  // without holding the latter.
+  if (!limit_(name)) {
+    EndWaiter(waiter, ReserveStatus::kUnknownBudget, tasks);
+    PostAll(std::move(tasks));
+    return;
+  }
+  std::uint64_t id = 0;
+  {
+    const std::lock_guard lock(mutex_);
+    id = ++last_waiter_;
+    waiter.id = id;
+    if (is_stopping_) {
+      EndWaiter(waiter, ReserveStatus::kUnavailable, tasks);
+    } else {
+      budgets_[name].waiters.push_back(std::move(waiter));
+    }
+  }
+  PostAll(std::move(tasks));
+  loop_.after(wait,
+              Weakly([name, id](Core& it) { it.ExpireWaiter(name, id); }));
+  PumpSoon(name);
+}
+
+void GrantTable::Core::Settle(const std::string& name,
+                              Tokens reserved,
+                              const Bill& bill) {
+  const Tokens amount = std::clamp<Tokens>(bill.amount, 0, reserved);
+  if (amount < bill.amount) {
+    Log(LogEvent::kBillAboveReservation, "budget {}: used {}, reserved {}",
+        name, bill.amount, reserved);
+  }
+  {
+    const std::lock_guard lock(mutex_);
+    const Millis now = loop_.now();
+    Budget& budget = budgets_[name];
+    CROCUSLATCH_ASSERT(reserved >= 0 && reserved <= budget.reserved);
+    budget.reserved -= reserved;
+    budget.free += reserved - amount;
+    budget.used_at = now;
+    if (amount > 0) {
+      budget.unsettled += amount;
+      budget.bills.push_back({bill.key, amount});
+      budget.settle_at =
+          std::min(budget.settle_at, now + options_.settle_period);
+      AddUse(budget, amount, now, options_.use_window);
+    }
+  }
+  PumpSoon(name);
+}
+
+void GrantTable::Core::Recall(const std::string& name) {
+  {
+    const std::lock_guard lock(mutex_);
+    const auto it = budgets_.find(name);
+    if (it == budgets_.end() || it->second.free == 0) {
+      return;
+    }
+    it->second.is_recalled = true;
+  }
+  PumpSoon(name);
+}
+
+void GrantTable::Core::ReturnAll(std::function<void()> callback) {
+  std::vector<std::string> names;
+  Tasks tasks;
+  {
+    const std::lock_guard lock(mutex_);
+    is_stopping_ = true;
+    stop_callbacks_.push_back(std::move(callback));
+    for (auto& [name, budget] : budgets_) {
+      EndAllWaiters(budget, ReserveStatus::kUnavailable, tasks);
+      names.push_back(name);
+    }
+    TakeStopCallbacks(tasks);
+  }
+  PostAll(std::move(tasks));
+  for (const auto& it : names) {
+    PumpSoon(it);
+  }
+}
+
+std::vector<HeldGrant> GrantTable::Core::Held() const {
+  const std::lock_guard lock(mutex_);
+  std::vector<HeldGrant> held;
+  for (const auto& [name, budget] : budgets_) {
+    if (!HoldsNothing(budget)) {
+      held.push_back({name, budget.free, budget.reserved, budget.unsettled});
+    }
+  }
+  return held;
+}
+
+bool GrantTable::Core::IsLow(const Budget& budget) const {
+  const Millis now = loop_.now();
+  return !is_stopping_ && !budget.is_recalled && now >= budget.refill_after &&
+         budget.free <
+             RecentUse(budget, now - options_.use_window) / kLowWaterDivisor;
+}
+
+// What to ask for while `free` tokens are kept.
+Tokens GrantTable::Core::Want(const Budget& budget, Tokens free) const {
+  const Millis now = loop_.now();
+  const Tokens use = RecentUse(budget, now - options_.use_window);
+  if (budget.waiters.empty()) {
+    return IsLow(budget) ? use - free : 0;
+  }
+  if (now < budget.ask_after) {
+    return 0;
+  }
+  Tokens shortfall = -free;
+  for (const auto& it : budget.waiters) {
+    shortfall += it.amount;
+  }
+  return std::max(shortfall, use);
+}
+
+Tokens GrantTable::Core::ToReturn(const Budget& budget) const {
+  const bool is_idle = budget.waiters.empty() &&
+                       loop_.now() >= budget.used_at + options_.idle_return;
+  return budget.is_recalled || is_stopping_ || is_idle ? budget.free : 0;
+}
+
+bool GrantTable::Core::IsSettleDue(const Budget& budget) const {
+  return !budget.bills.empty() &&
+         (is_stopping_ || loop_.now() >= budget.settle_at);
+}
+
+std::optional<ExchangeCommand> GrantTable::Core::Plan(
+    const std::string& name,
+    const Budget& budget) const {
+  ExchangeCommand exchange;
+  exchange.returned = ToReturn(budget);
+  const Tokens kept = budget.free - exchange.returned;
+  exchange.want = Want(budget, kept);
+  if (exchange.want == 0 && exchange.returned == 0 && !IsSettleDue(budget)) {
+    return std::nullopt;
+  }
+  if (exchange.want > 0 && !budget.waiters.empty()) {
+    exchange.least = budget.waiters.front().amount - kept;
+  }
+  exchange.budget = name;
+  exchange.holder = holder_;
+  exchange.sequence = budget.sequence + 1;
+  exchange.opens = HoldsNothing(budget);
+  const auto n = std::min(budget.bills.size(), kMaxBillsPerExchange);
+  exchange.bills.assign(budget.bills.begin(),
+                        budget.bills.begin() + static_cast<std::ptrdiff_t>(n));
+  return exchange;
+}
+
+// Makes the exchange the one in flight. Tokens that go back are not spent
+// from here on, whether or not the ledger gets the exchange.
+const std::vector<ShardCommand>& GrantTable::Core::Begin(
+    Budget& budget,
+    const ExchangeCommand& exchange,
+    std::optional<Tokens> limit) {
+  InFlight& sent = budget.in_flight.emplace();
+  sent.exchange = exchange;
+  sent.limit = budget.limit_sent;
+  if (limit && *limit > budget.limit_sent) {
+    sent.limit = *limit;
+    sent.commands.emplace_back(SetLimitCommand{exchange.budget, *limit});
+  }
+  sent.commands.emplace_back(exchange);
+  if (exchange.least > 0) {
+    sent.last_waiter = budget.waiters.back().id;
+  }
+  budget.free -= exchange.returned;
+  budget.is_recalled = false;
+  budget.bills.erase(budget.bills.begin(),
+                     budget.bills.begin() +
+                         static_cast<std::ptrdiff_t>(exchange.bills.size()));
+  if (budget.bills.empty()) {
+    budget.settle_at = Millis::max();
+  }
+  return sent.commands;
+}
+
+// When the budget needs its next look, if time alone makes an exchange due.
+std::optional<Millis> GrantTable::Core::NextWake(const Budget& budget) const {
+  Millis at = budget.bills.empty() ? Millis::max() : budget.settle_at;
+  if (!budget.waiters.empty()) {
+    at = std::min(at, budget.ask_after);
+  }
+  return at < budget.wake_at ? std::optional(at) : std::nullopt;
+}
+
+void GrantTable::Core::ExpireWaiter(const std::string& name, std::uint64_t id) {
+  Tasks tasks;
+  {
+    const std::lock_guard lock(mutex_);
+    auto& waiters = budgets_[name].waiters;
+    const auto it = std::ranges::find(waiters, id, &Waiter::id);
+    if (it == waiters.end()) {
+      return;
+    }
+    EndWaiter(*it,
+              it->is_short ? ReserveStatus::kInsufficient
+                           : ReserveStatus::kUnavailable,
+              tasks);
+    waiters.erase(it);
+  }
+  PostAll(std::move(tasks));
+  PumpSoon(name);
+}
+
+// Serves waiters and starts an exchange if one is due; runs on the loop.
+void GrantTable::Core::Pump(const std::string& name) {
+  const std::optional<Tokens> limit = limit_(name);
+  Tasks tasks;
+  std::vector<ShardCommand> commands;
+  std::optional<Millis> wake;
+  {
+    const std::lock_guard lock(mutex_);
+    Budget& budget = budgets_[name];
+    ServeWaiters(budget, loop_.now(), tasks);
+    if (!budget.in_flight) {
+      budget.is_recalled &= budget.free > 0;
+      if (const auto exchange = Plan(name, budget)) {
+        commands = Begin(budget, *exchange, limit);
+      } else {
+        wake = NextWake(budget);
+        budget.wake_at = wake.value_or(budget.wake_at);
+      }
+    }
+    TakeStopCallbacks(tasks);
+  }
+  PostAll(std::move(tasks));
+  if (!commands.empty()) {
+    Send(name, commands);
+  } else if (wake) {
+    loop_.after(std::max(*wake - loop_.now(), Millis{1}),
+                Weakly([name](Core& it) { it.Wake(name); }));
+  }
+}
+
+void GrantTable::Core::Wake(const std::string& name) {
+  {
+    const std::lock_guard lock(mutex_);
+    budgets_[name].wake_at = Millis::max();
+  }
+  Pump(name);
+}
+
+void GrantTable::Core::Send(const std::string& name,
+                            const std::vector<ShardCommand>& commands) {
+  apply_(ShardOfBudget(name, options_.shard_count), commands,
+         options_.exchange_timeout,
+         [self = weak_from_this(), name](
+             LedgerStatus status, const std::vector<ShardReply>& replies) {
+           if (const auto it = self.lock()) {
+             it->OnReply(name, status, replies);
+           }
+         });
+}
+
+void GrantTable::Core::Resend(const std::string& name) {
+  std::vector<ShardCommand> commands;
+  {
+    const std::lock_guard lock(mutex_);
+    commands = budgets_[name].in_flight.value().commands;
+  }
+  Send(name, commands);
+}
+
+void GrantTable::Core::OnReply(const std::string& name,
+                               LedgerStatus status,
+                               const std::vector<ShardReply>& replies) {
+  Tasks tasks;
+  bool is_known = false;
+  {
+    const std::lock_guard lock(mutex_);
+    Budget& budget = budgets_[name];
+    is_known = status == LedgerStatus::kDurable &&
+               replies.size() == budget.in_flight.value().commands.size();
+    if (is_known) {
+      const InFlight sent = std::move(*budget.in_flight);
+      budget.in_flight.reset();
+      Acknowledge(name, budget, sent, replies.back(), tasks);
+      TakeStopCallbacks(tasks);
+    }
+  }
+  PostAll(std::move(tasks));
+  if (is_known) {
+    Pump(name);
+  } else {
+    // The exchange may have taken effect, so only the same one may follow.
+    loop_.after(options_.retry_delay,
+                Weakly([name](Core& it) { it.Resend(name); }));
+  }
+}
+
+void GrantTable::Core::Acknowledge(const std::string& name,
+                                   Budget& budget,
+                                   const InFlight& sent,
+                                   const ShardReply& reply,
+                                   Tasks& tasks) {
+  const Millis now = loop_.now();
+  budget.sequence = sent.exchange.sequence;
+  budget.unsettled -= BilledIn(sent.exchange);
+  if (reply.status != ReplyStatus::kOk) {
+    Forfeit(name, budget, reply, tasks);
+    return;
+  }
+  budget.limit_sent = sent.limit;
+  budget.free += reply.granted;
+  if (reply.granted > 0) {
+    budget.used_at = now;
+    budget.recall_until.reset();
+  } else if (sent.exchange.want > 0) {
+    budget.refill_after = now + options_.settle_period;
+  }
+  ServeWaiters(budget, now, tasks);
+  Judge(name, budget, sent, reply, tasks);
+}
+
+// Refuses waiters that the budget does not cover, after other holders had
+// time to return tokens.
+void GrantTable::Core::Judge(const std::string& name,
+                             Budget& budget,
+                             const InFlight& sent,
+                             const ShardReply& reply,
+                             Tasks& tasks) {
+  if (budget.waiters.empty()) {
+    budget.recall_until.reset();
+    return;
+  }
+  const Millis now = loop_.now();
+  const Waiter& first = budget.waiters.front();
+  // A waiter that came later than the exchange needs a reply of its own.
+  if (first.id > sent.last_waiter ||
+      first.amount <= budget.free + reply.available) {
+    return;
+  }
+  const auto& until = budget.recall_until;
+  if (until && now >= *until + options_.recall_wait) {
+    // The answers to that recall say nothing about tokens granted since.
+    budget.recall_until.reset();
+  }
+  if (reply.other_holders.empty() || (until && now >= *until)) {
+    RefuseShort(budget, sent.last_waiter, tasks);
+    return;
+  }
+  budget.waiters.front().is_short = true;
+  if (!budget.recall_until) {
+    budget.recall_until = now + options_.recall_wait;
+    if (options_.recall) {
+      tasks.emplace_back(
+          [recall = options_.recall, name, holders = reply.other_holders] {
+            recall(name, holders);
+          });
+    }
+  }
+  budget.ask_after = std::min(now + options_.recall_poll, *budget.recall_until);
+}
+
+// The ledger holds no tokens for this holder. Either its record was dropped
+// after the exchange took effect, and nothing is lost, or the stored value
+// was replaced; then what is held here must not be spent.
+void GrantTable::Core::Forfeit(const std::string& name,
+                               Budget& budget,
+                               const ShardReply& reply,
+                               Tasks& tasks) {
+  budget.free = 0;
+  if (reply.status == ReplyStatus::kUnknownBudget) {
+    EndAllWaiters(budget, ReserveStatus::kUnknownBudget, tasks);
+  } else if (!HoldsNothing(budget)) {
+    Log(LogEvent::kExchangeRejected, "budget {}, holder {}", name,
+        ToString(holder_));
+    EndAllWaiters(budget, ReserveStatus::kUnavailable, tasks);
+  }
+}
+
+// Looks for idle grants now and then.
+void GrantTable::Core::SweepLater() {
+  loop_.after(options_.idle_return / 4, Weakly([](Core& it) { it.Sweep(); }));
+}
+
+void GrantTable::Core::Sweep() {
+  std::vector<std::string> names;
+  {
+    const std::lock_guard lock(mutex_);
+    for (const auto& [name, budget] : budgets_) {
+      if (ToReturn(budget) > 0) {
+        names.push_back(name);
+      }
+    }
+  }
+  for (const auto& it : names) {
+    Pump(it);
+  }
+  SweepLater();
+}
+
+void GrantTable::Core::TakeStopCallbacks(Tasks& tasks) {
+  const bool is_done = !stop_callbacks_.empty() &&
+                       std::ranges::all_of(budgets_, [](const auto& it) {
+                         return IsAtRest(it.second);
+                       });
+  if (is_done) {
+    std::ranges::move(stop_callbacks_, std::back_inserter(tasks));
+    stop_callbacks_.clear();
+  }
+}
+
+GrantTable::GrantTable(
+    GrantTableOptions options,
+    HolderId holder,
+    EventLoop loop,
+    ApplyToShard apply,
+    std::function<std::optional<Tokens>(const std::string&)> limit)
+    : core_(std::make_shared<Core>(std::move(options),
+                                   std::move(holder),
+                                   std::move(loop),
+                                   std::move(apply),
+                                   std::move(limit))) {
+  core_->SweepLater();
+}
+
+GrantTable::~GrantTable() = default;
+
+void GrantTable::Reserve(const std::string& budget,
+                         Tokens amount,
+                         Millis wait,
+                         std::function<void(ReserveStatus)> callback) {
+  core_->Reserve(budget, amount, wait, std::move(callback));
+}
+
+void GrantTable::Settle(const std::string& budget,
+                        Tokens reserved,
+                        const Bill& bill) {
+  core_->Settle(budget, reserved, bill);
+}
+
+void GrantTable::Recall(const std::string& budget) {
+  core_->Recall(budget);
+}
+
+void GrantTable::ReturnAll(std::function<void()> callback) {
+  core_->ReturnAll(std::move(callback));
+}
+
+std::vector<HeldGrant> GrantTable::Held() const {
+  return core_->Held();
+}
+
+}  // namespace crocuslatch
--- a/src/grant_table.h
+++ b/src/grant_table.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,14 @@
   Millis exchange_timeout{1000};
   // Retry delay after an exchange without a known result.
   Millis retry_delay{250};
+  // Longest wait for other holders to return tokens before a refusal, and the
+  // time between exchanges meanwhile.
+  Millis recall_wait{300};
+  Millis recall_poll{100};
+  // Asks other holders to return what they do not need; runs on the loop.
+  std::function<void(const std::string& budget,
+                     const std::vector<HolderId>& holders)>
+      recall;
 };
 
 enum class ReserveStatus {
--- /dev/null
+++ b/src/ledger_client.cc
@@ -0,0 +1,89 @@
+#include "src/ledger_client.h"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+namespace crocuslatch {
+namespace {
+
+// Peers asked before the router writes the shard itself.
+constexpr std::size_t kMaxPeers = 2;
+
+struct Client {
+  LedgerClientOptions options;
+  EventLoop loop;
+  std::function<std::vector<std::string>(std::uint32_t)> preferred_writers;
+  SendToPeer send_to_peer;
+  ApplyToShard local;
+};
+
+// One set of commands on its way. Sending it to several writers is safe: a
+// command that is applied twice has the effect of one.
+struct Call {
+  std::uint32_t shard = 0;
+  std::vector<ShardCommand> commands;
+  Millis deadline{0};
+  LedgerCallback callback;
+  // Peers left to ask, best first.
+  std::vector<std::string> peers;
+};
+
+std::vector<std::string> PeersToAsk(const Client& client, std::uint32_t shard) {
+  auto hosts = client.preferred_writers(shard);
+  hosts.resize(std::min(hosts.size(), kMaxPeers));
+  hosts.erase(std::ranges::find(hosts, client.options.own_host), hosts.end());
+  return hosts;
+}
+
+void SendNext(const std::shared_ptr<const Client>& client,
+              const std::shared_ptr<Call>& call) {
+  const Millis left = call->deadline - client->loop.now();
+  if (left <= Millis{0}) {
+    call->callback(LedgerStatus::kUnknown, {});
+    return;
+  }
+  if (call->peers.empty()) {
+    client->local(call->shard, std::move(call->commands), left,
+                  std::move(call->callback));
+    return;
+  }
+  const std::string host = call->peers.front();
+  call->peers.erase(call->peers.begin());
+  client->send_to_peer(host, call->shard, call->commands,
+                       std::min(left, client->options.peer_timeout),
+                       [client, call](LedgerStatus status,
+                                      const std::vector<ShardReply>& replies) {
+                         if (status == LedgerStatus::kDurable) {
+                           call->callback(status, replies);
+                         } else {
+                           SendNext(client, call);
+                         }
+                       });
+}
+
+}  // namespace
+
+ApplyToShard MakeLedgerClient(
+    const LedgerClientOptions& options,
+    const EventLoop& loop,
+    std::function<std::vector<std::string>(std::uint32_t shard)>
+        preferred_writers,
+    SendToPeer send_to_peer,
+    ApplyToShard local) {
+  const auto client = std::make_shared<const Client>(
+      Client{options, loop, std::move(preferred_writers),
+             std::move(send_to_peer), std::move(local)});
+  return [client](std::uint32_t shard, std::vector<ShardCommand> commands,
+                  Millis timeout, LedgerCallback callback) {
+    const auto call = std::make_shared<Call>();
+    call->shard = shard;
+    call->commands = std::move(commands);
+    call->deadline = client->loop.now() + timeout;
+    call->callback = std::move(callback);
+    call->peers = PeersToAsk(*client, shard);
+    SendNext(client, call);
+  };
+}
+
+}  // namespace crocuslatch
