--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -172,7 +172,7 @@
       return !manager->retired &&
              manager->in_flight[server] < kConnectionsPerManager;
     });
-    const auto manager = it == managers_.end() ? Add() : *it;
+    auto manager = it == managers_.end() ? Add() : *it;
     ++manager->in_flight[server];
     ++manager->total;
     return manager;
@@ -196,7 +196,7 @@
 
  private:
   std::shared_ptr<Manager> Add() {
-    const auto manager = std::make_shared<Manager>();
+    auto manager = std::make_shared<Manager>();
     manager->network = std::make_unique<QNetworkAccessManager>();
     manager->network->setProxy(QNetworkProxy::NoProxy);
     manager->number = ++created_;
@@ -300,18 +300,19 @@
   // Drops the connection unless the answer is whole.
   void Detach() {
     ended = true;
+    if (reply) {
+      // Only our connections: the reply needs its own signals to abort.
+      reply->disconnect(timer);
+      reply->abort();
+      reply->deleteLater();
+      reply = nullptr;
+    }
     if (timer) {
       timer->disconnect();
       timer->stop();
       timer->deleteLater();
       timer = nullptr;
     }
-    if (reply) {
-      reply->disconnect();
-      reply->abort();
-      reply->deleteLater();
-      reply = nullptr;
-    }
   }
 
   void End(HttpEnd end) {
@@ -431,7 +432,7 @@
     const bool whole = result == HttpEnd::kComplete;
     callback(result, whole ? answer->status : 0, answer->headers, answer->body);
   };
-  const HttpCall call = Send(request, std::move(hooks));
+  HttpCall call = Send(request, std::move(hooks));
   answer->call = call;
   return call;
 }
--- a/src/http_front.cc
+++ b/src/http_front.cc
@@ -16,7 +16,6 @@
 #include <QUrl>
 #include <algorithm>
 #include <cerrno>
-#include <charconv>
 #include <cstring>
 #include <utility>
 
@@ -162,6 +161,30 @@
   return ToBytes(FindHeader(headers, "Connection")).toLower() == "close";
 }
 
+std::vector<std::string> HeaderValues(const HttpHeaders& headers,
+                                      std::string_view lower_name) {
+  std::vector<std::string> result;
+  for (const auto& [name, value] : headers) {
+    if (ToBytes(name).toLower() == ToBytes(lower_name)) {
+      result.push_back(value);
+    }
+  }
+  return result;
+}
+
+// True if the length headers state exactly this body. Qt takes a wrong or
+// repeated Content-Length as it comes, so the rest of the connection could be
+// read as a request that the caller did not send.
+bool HasExactLength(const IncomingRequest& request) {
+  const auto lengths = HeaderValues(request.headers, "content-length");
+  if (!HeaderValues(request.headers, "transfer-encoding").empty()) {
+    return lengths.empty();
+  }
+  const auto size = std::to_string(request.body.size());
+  return lengths.empty() ? request.body.empty()
+                         : lengths.size() == 1 && lengths[0] == size;
+}
+
 RequestError TooLarge(std::size_t limit) {
   return {413, Outcome::kNotRun, "body_too_large",
           fmt::format("the request is larger than {} bytes", limit),
@@ -484,6 +507,10 @@
       return true;
     }
     const IncomingRequest incoming = ReadRequest(request);
+    if (!HasExactLength(incoming)) {
+      caller->Reject(Malformed());
+      return true;
+    }
     HttpReply reply = MakeReply(request, incoming, caller);
     if (incoming.body.size() > options_.max_body_bytes) {
       reply.SendError(TooLarge(options_.max_body_bytes));
--- /dev/null
+++ b/tests/error/http_front_test.cc
@@ -0,0 +1,162 @@
+#include "src/http_front.h"
+
+#include <QTcpSocket>
+#include <catch2/catch.hpp>
+
+#include "tests/run_until.h"
+
+namespace crocuslatch {
+namespace {
+
+HttpFrontOptions ShortLimits() {
+  return {.max_body_bytes = 1000, .request_timeout = Millis{200}};
+}
+
+void Echo(const IncomingRequest& request, HttpReply reply) {
+  reply.SendWhole(200, {}, request.method + request.path + request.body);
+}
+
+// Sends `bytes` on a new connection and returns what comes back until `done`
+// or the end of the connection.
+std::string Exchange(std::uint16_t port,
+                     const std::string& bytes,
+                     const std::function<bool(const std::string&)>& done) {
+  QTcpSocket socket;
+  socket.connectToHost("127.0.0.1", port);
+  socket.write(bytes.data(), static_cast<qint64>(bytes.size()));
+  std::string got;
+  const bool ended = RunUntil([&] {
+    got += socket.readAll().toStdString();
+    return done(got) || socket.state() == QAbstractSocket::UnconnectedState;
+  });
+  CHECK(ended);
+  return got + socket.readAll().toStdString();
+}
+
+bool Never(const std::string&) {
+  return false;
+}
+
+bool Served(const HttpFront& front) {
+  const auto got =
+      Exchange(front.port(), "GET /a HTTP/1.1\r\nHost: h\r\n\r\n",
+               [](const auto& it) { return it.ends_with("GET/a"); });
+  return got.starts_with("HTTP/1.1 200") && got.ends_with("GET/a");
+}
+
+}  // namespace
+
+// Guards against connections that stay open or a process that stops serving
+// after malformed input.
+TEST_CASE("garbage and half-sent requests are closed and the server goes on") {
+  const std::string bytes = GENERATE(
+      std::string("garbage\r\n\r\n"), std::string("GET"),
+      std::string("GET / HTTP/1.1\r\nHost: h\r\n"),
+      std::string(
+          "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nhalf"),
+      std::string("POST / HTTP/1.1\r\nContent-Length: -5\r\n\r\nhalf"),
+      std::string("POST / HTTP/1.1\r\nContent-Length: 99999999999999999999\r\n"
+                  "\r\nhalf"),
+      std::string(
+          "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"),
+      std::string("POST / HTTP/1.1\r\nContent-Length: 4\r\n"
+                  "Content-Length: 2\r\n\r\nhalf"),
+      std::string(100000, 'A'), std::string(64, '\0'));
+  HttpFront front(ShortLimits(), Echo);
+  INFO(bytes.substr(0, 60));
+  const auto got = Exchange(front.port(), bytes, Never);
+  CHECK((got.empty() || got.starts_with("HTTP/1.1 4")));
+  CHECK(Served(front));
+  CHECK(front.open_requests() == 0);
+}
+
+TEST_CASE("an oversized body gets a typed error") {
+  HttpFront front(ShortLimits(), Echo);
+  const auto got =
+      Exchange(front.port(),
+               "POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+               "Content-Length: 2000\r\n\r\n" +
+                   std::string(2000, 'x'),
+               Never);
+  CHECK(got.starts_with("HTTP/1.1 413"));
+  CHECK(got.find("body_too_large") != std::string::npos);
+  CHECK(Served(front));
+}
+
+// Guards against two answers mixed on one connection.
+TEST_CASE("a pipelined request is answered after the first one") {
+  HttpFront front(ShortLimits(), Echo);
+  const auto got = Exchange(
+      front.port(),
+      "GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n",
+      [](const auto& it) { return it.ends_with("GET/b"); });
+  CHECK(got.find("GET/a") < got.find("GET/b"));
+  CHECK(got.ends_with("GET/b"));
+}
+
+// As above while the first answer is open: the connection is closed.
+TEST_CASE("a request during a stream never writes into it") {
+  std::vector<HttpReply> replies;
+  int disconnects = 0;
+  HttpFront front(ShortLimits(), [&](const IncomingRequest&, HttpReply reply) {
+    reply.StartStream(200, {});
+    reply.OnDisconnect([&] { ++disconnects; });
+    replies.push_back(reply);
+  });
+  const std::string second =
+      GENERATE("GET /b HTTP/1.1\r\nHost: h\r\n\r\n", "garbage\r\n\r\n");
+  QTcpSocket socket;
+  socket.connectToHost("127.0.0.1", front.port());
+  socket.write("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  REQUIRE(RunUntil([&] { return replies.size() == 1; }));
+  socket.write(second.c_str());
+  REQUIRE(RunUntil([&] { return disconnects == 1; }));
+  replies[0].Write("late");
+  replies[0].EndStream();
+  CHECK(replies.size() == 1);
+  CHECK(front.open_requests() == 0);
+}
+
+// Guards against a cut answer that looks whole to the caller.
+TEST_CASE("an aborted stream has no last chunk") {
+  HttpFront front({}, [](const IncomingRequest&, HttpReply reply) {
+    reply.StartStream(200, {});
+    reply.Write("part");
+    QTimer::singleShot(50, [reply]() mutable { reply.Abort(); });
+  });
+  const auto got =
+      Exchange(front.port(), "GET / HTTP/1.1\r\nHost: h\r\n\r\n", Never);
+  CHECK(got.find("4\r\npart\r\n") != std::string::npos);
+  CHECK(got.find("0\r\n\r\n") == std::string::npos);
+}
+
+TEST_CASE("a second listener on a port needs reuse_port") {
+  HttpFront first({.reuse_port = true}, Echo);
+  const std::uint16_t port = first.port();
+  CHECK_NOTHROW(HttpFront({.port = port, .reuse_port = true}, Echo));
+  CHECK_THROWS_AS(HttpFront({.port = port}, Echo), UserError);
+  CHECK_THROWS_AS(HttpFront({.address = "no number"}, Echo), UserError);
+}
+
+// Guards against a planned stop that cuts requests in flight.
+TEST_CASE("after StopListening requests in flight go on") {
+  std::vector<HttpReply> replies;
+  HttpFront front({}, [&](const IncomingRequest&, const HttpReply& reply) {
+    replies.push_back(reply);
+  });
+  QTcpSocket socket;
+  socket.connectToHost("127.0.0.1", front.port());
+  socket.write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  REQUIRE(RunUntil([&] { return replies.size() == 1; }));
+  front.StopListening();
+  CHECK(front.open_requests() == 1);
+  replies[0].SendWhole(200, {}, "done");
+  REQUIRE(RunUntil(
+      [&] { return socket.state() == QAbstractSocket::UnconnectedState; }));
+  CHECK(socket.readAll().endsWith("done"));
+  QTcpSocket late;
+  late.connectToHost("127.0.0.1", front.port());
+  CHECK_FALSE(late.waitForConnected(500));
+}
+
+}  // namespace crocuslatch
