--- /dev/null
+++ b/tests/correctness/scheduler_test.cc
@@ -0,0 +1,161 @@
+#include "src/scheduler.h"
+
+#include <catch2/catch.hpp>
+
+namespace crocuslatch {
+namespace {
+
+constexpr Millis kStart{1000};
+
+std::vector<RankConfig> Ranks() {
+  return {{.name = "urgent", .max_queued = 10},
+          {.name = "bulk", .share = 0.1, .max_queued = 100}};
+}
+
+QueuedWork Work(const std::string& rank, Tokens tokens = 100) {
+  return {.rank = rank,
+          .client_account = "one",
+          .target = "m",
+          .tokens = tokens,
+          .deadline = kStart + Millis{60000}};
+}
+
+SchedulerCore MakeCore(SchedulerOptions options = {}) {
+  SchedulerCore core(options);
+  core.SetRanks(Ranks());
+  return core;
+}
+
+bool Always(WorkId, const QueuedWork&, bool) {
+  return true;
+}
+
+}  // namespace
+
+// Guards against urgent work that waits behind a flood of the least urgent.
+TEST_CASE("urgent work starts before a flood of bulk work") {
+  auto core = MakeCore();
+  for (WorkId id = 1; id <= 50; ++id) {
+    REQUIRE(core.Enqueue(id, Work("bulk"), kStart) == EnqueueStatus::kQueued);
+    if (id > 25) {
+      CHECK(core.Next(kStart, Always) == id - 25);
+    }
+  }
+  REQUIRE(core.Enqueue(99, Work("urgent"), kStart) == EnqueueStatus::kQueued);
+  CHECK(core.Next(kStart, Always) == WorkId{99});
+}
+
+// Guards against a full model that holds up the requests of another one.
+TEST_CASE("a model without free slots does not block another one") {
+  auto core = MakeCore();
+  REQUIRE(core.Enqueue(1, Work("urgent"), kStart) == EnqueueStatus::kQueued);
+  auto other = Work("bulk");
+  other.target = "other";
+  REQUIRE(core.Enqueue(2, other, kStart) == EnqueueStatus::kQueued);
+  const auto only_other = [](WorkId, const QueuedWork& work, bool) {
+    return work.target == "other";
+  };
+  CHECK(core.Next(kStart, only_other) == WorkId{2});
+  CHECK_FALSE(core.Next(kStart, only_other).has_value());
+}
+
+// Guards against bulk work that fills all slots, so that urgent work has to
+// wait for one of them to end.
+TEST_CASE("only urgent, owed or resumed work may use the last slots") {
+  auto core = MakeCore();
+  std::vector<bool> last;
+  const auto record = [&last](WorkId, const QueuedWork&, bool may_use_last) {
+    last.push_back(may_use_last);
+    return true;
+  };
+  auto resumed = Work("bulk");
+  resumed.resumed = true;
+  REQUIRE(core.Enqueue(1, Work("bulk"), kStart) == EnqueueStatus::kQueued);
+  REQUIRE(core.Enqueue(2, Work("urgent"), kStart) == EnqueueStatus::kQueued);
+  REQUIRE(core.Enqueue(3, resumed, kStart) == EnqueueStatus::kQueued);
+  CHECK(core.Next(kStart, record) == WorkId{3});
+  CHECK(core.Next(kStart, record) == WorkId{2});
+  CHECK(core.Next(kStart, record) == WorkId{1});
+  CHECK(last == std::vector<bool>{true, true, false});
+}
+
+// Guards against queues that grow without bound.
+TEST_CASE("a full queue refuses by count and by bytes") {
+  auto core = MakeCore({.max_queued_bytes = 1000});
+  for (WorkId id = 1; id <= 10; ++id) {
+    REQUIRE(core.Enqueue(id, Work("urgent"), kStart) == EnqueueStatus::kQueued);
+  }
+  CHECK(core.Enqueue(11, Work("urgent"), kStart) == EnqueueStatus::kQueueFull);
+  auto large = Work("bulk");
+  large.bytes = 1001;
+  CHECK(core.Enqueue(11, large, kStart) == EnqueueStatus::kQueueFull);
+  CHECK(core.Enqueue(11, Work("none"), kStart) == EnqueueStatus::kUnknownRank);
+}
+
+// Guards against requests that wait only to miss their deadline, and against
+// refusals that the measured rate does not justify.
+TEST_CASE("a deadline that the service rate cannot meet is refused early") {
+  auto core = MakeCore();
+  // 100 tokens each 100 ms, with 20 requests waiting all the time.
+  WorkId id = 0;
+  auto now = kStart;
+  for (int i = 0; i < 20; ++i) {
+    REQUIRE(core.Enqueue(++id, Work("bulk"), now) == EnqueueStatus::kQueued);
+  }
+  for (int i = 0; i < 40; ++i) {
+    now += Millis{100};
+    REQUIRE(core.Next(now, Always).has_value());
+    REQUIRE(core.Enqueue(++id, Work("bulk"), now) == EnqueueStatus::kQueued);
+  }
+  auto work = Work("bulk");
+  const auto wait = core.ExpectedWait(work, now);
+  CHECK(wait > Millis{1900});
+  CHECK(wait < Millis{2100});
+  work.deadline = now + Millis{1500};
+  CHECK(core.Enqueue(++id, work, now) == EnqueueStatus::kTooLate);
+  work.deadline = now + Millis{2500};
+  CHECK(core.Enqueue(++id, work, now) == EnqueueStatus::kQueued);
+  // Nobody is ahead of urgent work.
+  work = Work("urgent");
+  work.deadline = now + Millis{50};
+  CHECK(core.Enqueue(++id, work, now) == EnqueueStatus::kQueued);
+}
+
+// Guards against work that is lost when a document changes the ranks.
+TEST_CASE("waiting work survives a change of the ranks") {
+  auto core = MakeCore();
+  REQUIRE(core.Enqueue(1, Work("bulk"), kStart) == EnqueueStatus::kQueued);
+  REQUIRE(core.Enqueue(2, Work("urgent"), kStart) == EnqueueStatus::kQueued);
+  core.SetRanks({{.name = "new"}, {.name = "bulk"}, {.name = "least"}});
+  CHECK(core.queued() == 2);
+  CHECK(core.Next(kStart, Always) == WorkId{1});
+  CHECK(core.Cancel(2));
+  CHECK(core.queued() == 0);
+}
+
+// Guards against a start after a successful cancellation.
+TEST_CASE("the scheduler's handle starts or cancels, never both") {
+  Scheduler scheduler({}, [] { return kStart; });
+  scheduler.SetRanks(Ranks());
+  int started = 0;
+  bool has_slot = false;
+  const auto enqueue = [&] {
+    WorkId id = 0;
+    REQUIRE(scheduler.Enqueue(
+                Work("urgent"), [&](bool) { return has_slot; },
+                [&] { ++started; }, &id) == EnqueueStatus::kQueued);
+    return id;
+  };
+  const auto first = enqueue();
+  const auto second = enqueue();
+  scheduler.Run();
+  CHECK(started == 0);
+  CHECK(scheduler.Cancel(first));
+  has_slot = true;
+  scheduler.Run();
+  CHECK(started == 1);
+  CHECK_FALSE(scheduler.Cancel(first));
+  CHECK_FALSE(scheduler.Cancel(second));
+}
+
+}  // namespace crocuslatch
