--- a/models/budget.pml
+++ b/models/budget.pml
@@ -251,6 +251,7 @@
   od
 #ifdef MUTATION_FREE_ON_DEATH
   ;
+  skip;
   d_step {
     store.outstanding[me] = 0;
     store.version = store.version + 1
--- a/src/caller_api.cc
+++ b/src/caller_api.cc
@@ -10,6 +10,7 @@
 #include "src/model_request.h"
 #include "src/order_request.h"
 #include "src/request_errors.h"
+#include "src/sha256.h"
 
 namespace crocuslatch {
 namespace {
@@ -171,14 +172,6 @@
 
 }  // namespace
 
-std::string Sha256Hex(std::string_view text) {
-  return QCryptographicHash::hash(
-             QByteArrayView(text.data(), static_cast<qsizetype>(text.size())),
-             QCryptographicHash::Sha256)
-      .toHex()
-      .toStdString();
-}
-
 CallerRequest ReadCaller(const IncomingRequest& request,
                          std::shared_ptr<const Document> document,
                          Millis now) {
--- a/src/caller_api.h
+++ b/src/caller_api.h
@@ -11,9 +11,6 @@
 
 namespace crocuslatch {
 
-// Lower-case hex SHA-256.
-std::string Sha256Hex(std::string_view text);
-
 // Reads the caller's headers. Throws RequestError.
 CallerRequest ReadCaller(const IncomingRequest& request,
                          std::shared_ptr<const Document> document,
--- /dev/null
+++ b/src/router.h
@@ -0,0 +1,35 @@
+#ifndef SRC_ROUTER_H_
+#define SRC_ROUTER_H_
+
+#include <functional>
+#include <memory>
+
+#include "src/settings.h"
+
+// Defines the router: one daemon's modules, wired by its settings.
+
+namespace crocuslatch {
+
+// Belongs to the thread that made it, which runs a Qt event loop. The peer
+// and administration listeners open at once; the callers' listener opens when
+// the first configuration document is in force.
+class Router {
+ public:
+  // Throws UserError "listen_failed".
+  explicit Router(const Settings& settings);
+  ~Router();
+  Router(const Router&) = delete;
+  Router& operator=(const Router&) = delete;
+
+  // Planned stop: refuses new requests, lets those in flight end, settles and
+  // returns all grants, then calls `stopped`. Repeated calls do nothing.
+  void Stop(std::function<void()> stopped);
+
+ private:
+  struct Core;
+  std::shared_ptr<Core> core_;
+};
+
+}  // namespace crocuslatch
+
+#endif  // SRC_ROUTER_H_
--- /dev/null
+++ b/src/sha256.h
@@ -0,0 +1,16 @@
+#ifndef SRC_SHA256_H_
+#define SRC_SHA256_H_
+
+#include <string>
+#include <string_view>
+
+// Defines the hash of API keys and configuration documents.
+
+namespace crocuslatch {
+
+// Lower-case hex SHA-256.
+std::string Sha256Hex(std::string_view text);
+
+}  // namespace crocuslatch
+
+#endif  // SRC_SHA256_H_
