--- a/src/config_keeper.h
+++ b/src/config_keeper.h
@@ -4,14 +4,13 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
-#include <string_view>
 #include <vector>
 
 #include "src/document.h"
 #include "src/event_loop.h"
 #include "src/store.h"
+#include "src/stored_document.h"
 #include "src/types.h"
 
 // Defines the keeper of the configuration document: it applies new versions
@@ -30,28 +29,6 @@
 
 using DocumentPointer = std::shared_ptr<const DocumentInForce>;
 
-// One version as the store and the peers carry it.
-struct StoredDocument {
-  std::uint64_t version = 0;
-  std::string sha256;
-  // Identifies the submission, so that it can be found again after a lost
-  // answer. Printable, without spaces.
-  std::string nonce;
-  std::string toml;
-  bool operator==(const StoredDocument&) const = default;
-};
-
-std::string EncodeStoredDocument(const StoredDocument& document);
-// Nothing if the value is damaged or its hash does not match.
-std::optional<StoredDocument> DecodeStoredDocument(std::string_view value);
-
-std::string Sha256Hex(std::string_view text);
-
-// 32 random hex digits.
-std::string MakeNonce();
-// True for 1 to 64 letters, digits and hyphens.
-bool IsNonce(std::string_view text);
-
 enum class ApplyStatus {
   kApplied,
   // Another version was applied to the base version first.
@@ -137,6 +114,8 @@
 
  private:
   class State;
+  class ApplyRun;
+  class ReadRun;
   std::shared_ptr<State> state_;
 };
 
