--- a/src/shard_writer.h
+++ b/src/shard_writer.h
@@ -1,6 +1,7 @@
 #ifndef SRC_SHARD_WRITER_H_
 #define SRC_SHARD_WRITER_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -29,7 +30,7 @@
   std::size_t max_recent_entries = 512;
   // Total size of recorded answers that a shard value holds, and of one
   // segment. Stored values are limited to 1 MB.
-  std::size_t max_recent_bytes = 256 * 1024;
+  std::size_t max_recent_bytes = std::size_t{256} * 1024;
   // The cached state of a shard without commands is dropped after this time.
   Millis cache_time{std::chrono::minutes(10)};
   // Wall-clock milliseconds since 1970.
--- a/src/types.h
+++ b/src/types.h
@@ -23,6 +23,8 @@
 struct RequestKey {
   std::uint64_t high = 0;
   std::uint64_t low = 0;
+  // clang-tidy 14 takes the zero in a defaulted comparison for a pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const RequestKey&) const = default;
 };
 
@@ -42,6 +44,8 @@
 struct HolderId {
   std::string host;
   std::uint64_t incarnation = 0;
+  // clang-tidy 14 takes the zero in a defaulted comparison for a pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const HolderId&) const = default;
 };
 
