--- a/src/config_keeper.cc
+++ b/src/config_keeper.cc
@@ -7,6 +7,7 @@
 #include <set>
 
 #include "src/log.h"
+#include "src/sha256.h"
 
 namespace crocuslatch {
 namespace {
--- a/src/router.cc
+++ b/src/router.cc
@@ -2,6 +2,8 @@
 
 #include <QDateTime>
 #include <QRandomGenerator>
+#include <algorithm>
+#include <csignal>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -217,24 +219,26 @@
   }
 
   void ReportBudget(const std::string& budget,
-                    std::function<void(const BudgetReport&)> callback) {
-    if (shard_count == 0 || !limits.Find(budget)) {
-      callback({BudgetReportStatus::kUnknownBudget, ""});
+                    std::function<void(std::string)> callback) {
+    const auto prepaid = limits.Find(budget);
+    if (shard_count == 0 || !prepaid) {
+      callback("");
       return;
     }
-    const auto limit = *limits.Find(budget);
-    ReadShard(store, ShardOfBudget(budget, shard_count),
-              [self = weak_from_this(), budget, limit, callback](
-                  StoreStatus status, const ShardState& state) {
-                const auto core = self.lock();
-                if (!core) {
-                  return;
-                }
-                callback(MakeBudgetReport(
-                    budget, limit, status, state, [core](const auto& holder) {
-                      return core->membership.IsGone(holder);
-                    }));
-              });
+    ReadShard(
+        store, ShardOfBudget(budget, shard_count),
+        [self = weak_from_this(), budget, prepaid, callback](
+            StoreStatus status, const ShardState& state) {
+          const auto core = self.lock();
+          if (!core || status != StoreStatus::kOk) {
+            callback("");
+            return;
+          }
+          const auto is_gone = [&core](const HolderId& it) {
+            return core->membership.IsGone(it);
+          };
+          callback(LedgerReport(budget, *prepaid, state, is_gone));
+        });
   }
 
   PeerHeartbeat MakeHeartbeat() {
--- a/src/worker.cc
+++ b/src/worker.cc
@@ -1,5 +1,7 @@
 #include "src/worker.h"
 
+#include <QCoreApplication>
+#include <QEventLoop>
 #include <QThread>
 #include <atomic>
 #include <exception>
