--- a/src/peer_link.h
+++ b/src/peer_link.h
@@ -33,6 +33,11 @@
   bool operator==(const PeerIntroduction&) const = default;
 };
 
+flatbuffers::Offset<wire::Incarnation> PackIncarnation(
+    flatbuffers::FlatBufferBuilder& builder,
+    const Incarnation& incarnation);
+Incarnation UnpackIncarnation(const wire::Incarnation& table);
+
 // HMAC-SHA256, with the fleet's secret, that `prover` sends to show that it
 // knows the secret. It covers the role of the prover and both introductions,
 // so that a proof is useless on any other connection or in the other role.
@@ -55,7 +60,8 @@
 struct PeerLinkHooks {
   // The peer is authenticated.
   std::function<void(const Incarnation& peer)> on_ready;
-  // Called once, last, unless the link is destroyed first.
+  // Called once unless the link is destroyed first. The callbacks of requests
+  // without a reply follow, even if this hook destroys the link.
   std::function<void(const std::string& reason)> on_closed;
   // A message that is not a reply. `reply` may be called once, later, and
   // does nothing for a message without a request id or after the link's end.
@@ -86,7 +92,7 @@
   void Send(const PackBody& body);
   // Shorter limit for connections with regular heartbeats.
   void SetSilenceLimit(Millis limit);
-  // Time without a request, a message or a reply.
+  // Time without a request, a message or a reply; 0 while a reply is awaited.
   Millis idle_time() const;
   bool is_ready() const;
 
