--- a/tests/process/fleet.cc
+++ b/tests/process/fleet.cc
@@ -1,37 +1,24 @@
 #include "tests/process/fleet.h"
 
 #include <fmt/format.h>
-#include <signal.h>
-#include <sys/prctl.h>
 
 #include <QCryptographicHash>
-#include <QElapsedTimer>
-#include <QEventLoop>
 #include <QFile>
 #include <QJsonArray>
 #include <QJsonDocument>
-#include <QTcpServer>
-#include <QTimer>
 #include <algorithm>
 #include <array>
 #include <stdexcept>
 
-#include "standins/engine_tokens.h"
-
 namespace crocuslatch::test {
 
 namespace {
 
 constexpr Millis kStartTimeout{15000};
 constexpr Millis kAnswerTimeout{5000};
-constexpr Millis kRetryDelay{100};
 constexpr const char* kAdminToken = "process-test-admin-token";
 constexpr std::array kAccounts = {"small", "large"};
 
-std::string ApiKey(const std::string& account) {
-  return "key-of-" + account;
-}
-
 std::string Sha256(const std::string& text) {
   return QCryptographicHash::hash(QByteArray::fromStdString(text),
                                   QCryptographicHash::Sha256)
@@ -39,230 +26,8 @@
       .toStdString();
 }
 
-QJsonObject ParseObject(std::string_view text) {
-  const auto size = static_cast<qsizetype>(text.size());
-  return QJsonDocument::fromJson(QByteArray(text.data(), size)).object();
-}
-
-std::string ToText(const QJsonObject& json) {
-  return QJsonDocument(json).toJson(QJsonDocument::Compact).toStdString();
-}
-
-// Adds one completion object's text and usage to the transcript.
-void AddCompletion(const QJsonObject& json, Transcript& transcript) {
-  const QJsonObject choice = json["choices"].toArray().at(0).toObject();
-  transcript.answer += choice["text"].toString().toStdString();
-  if (json["usage"].isObject()) {
-    transcript.usage = json["usage"].toObject();
-  }
-}
-
-// Reads the events of a stream; false unless the stream ends with "[DONE]".
-bool ReadStream(std::string_view body, Transcript& transcript) {
-  constexpr std::string_view kData = "data: ";
-  bool done = false;
-  while (!body.empty()) {
-    const auto end = std::min(body.find('\n'), body.size() - 1);
-    std::string_view line = body.substr(0, end);
-    body.remove_prefix(end + 1);
-    if (!line.starts_with(kData)) {
-      continue;
-    }
-    line.remove_prefix(kData.size());
-    done = line == "[DONE]";
-    AddCompletion(ParseObject(line), transcript);
-  }
-  return done;
-}
-
 }  // namespace
 
-bool RunUntil(const std::function<bool()>& done, Millis timeout) {
-  QElapsedTimer timer;
-  timer.start();
-  while (!done()) {
-    if (timer.hasExpired(timeout.count())) {
-      return false;
-    }
-    RunFor(Millis(5));
-  }
-  return true;
-}
-
-void RunFor(Millis time) {
-  QEventLoop loop;
-  QTimer::singleShot(time, Qt::PreciseTimer, &loop, &QEventLoop::quit);
-  loop.exec();
-}
-
-std::uint16_t FreePort() {
-  QTcpServer server;
-  server.listen(QHostAddress::LocalHost);
-  return server.serverPort();
-}
-
-std::string Url(std::uint16_t port, const std::string& path) {
-  return fmt::format("http://127.0.0.1:{}{}", port, path);
-}
-
-Process::Process(const std::string& program,
-                 const std::vector<std::string>& arguments,
-                 const std::string& log) {
-  QStringList list;
-  for (const auto& it : arguments) {
-    list.append(QString::fromStdString(it));
-  }
-  process_.setStandardErrorFile(QString::fromStdString(log), QIODevice::Append);
-  process_.setChildProcessModifier([] { prctl(PR_SET_PDEATHSIG, SIGKILL); });
-  process_.start(QString::fromStdString(CROCUSLATCH_BIN_DIR "/" + program),
-                 list);
-  if (!process_.waitForStarted()) {
-    throw std::runtime_error("cannot start " + program);
-  }
-}
-
-Process::~Process() {
-  process_.kill();
-  process_.waitForFinished();
-}
-
-void Process::WaitListening() {
-  QByteArray line;
-  const bool listening = RunUntil(
-      [&] {
-        line += process_.readAllStandardOutput();
-        return line.endsWith('\n');
-      },
-      kStartTimeout);
-  const auto words = line.simplified().split(' ');
-  if (!listening || words.size() < 2) {
-    throw std::runtime_error("not listening: " +
-                             process_.program().toStdString());
-  }
-  port_ = words[1].toUShort();
-  control_port_ = words.size() > 3 ? words[3].toUShort() : port_;
-}
-
-void Process::Signal(int number) const {
-  if (IsRunning()) {
-    ::kill(static_cast<pid_t>(process_.processId()), number);
-  }
-}
-
-bool Process::IsRunning() const {
-  return process_.state() == QProcess::Running;
-}
-
-int Process::WaitExit(Millis timeout) {
-  RunUntil([&] { return !IsRunning(); }, timeout);
-  const bool exited =
-      !IsRunning() && process_.exitStatus() == QProcess::NormalExit;
-  return exited ? process_.exitCode() : -1;
-}
-
-// Sends one call to one router after the other until it has a final result.
-struct Fleet::Caller : std::enable_shared_from_this<Caller> {
-  Call call;
-  Fleet* fleet = nullptr;
-  std::size_t router = 0;
-  std::shared_ptr<Transcript> transcript = std::make_shared<Transcript>();
-
-  HttpRequest MakeRequest() const {
-    const bool order = call.prompt.empty();
-    const QJsonObject completion{
-        {"model", "model"},
-        {"prompt", QString::fromStdString(call.prompt)},
-        {"max_tokens", static_cast<qint64>(call.max_tokens)},
-        {"stream", call.stream}};
-    HttpRequest request{
-        .method = "POST",
-        .url = Url(fleet->ports_[router].caller,
-                   order ? "/v1/services/booking/orders" : "/v1/completions"),
-        .headers = {{"Authorization", "Bearer " + ApiKey(call.account)},
-                    {"Content-Type", "application/json"}},
-        .body = order ? call.body : ToText(completion),
-        .first_byte_timeout = call.time_limit,
-        .stall_timeout = call.time_limit};
-    if (!call.key.empty()) {
-      request.headers.emplace_back("Idempotency-Key", call.key);
-    }
-    if (!call.rank.empty()) {
-      request.headers.emplace_back("X-Rank", call.rank);
-    }
-    return request;
-  }
-
-  void Send() {
-    transcript->attempts.push_back({.router = router});
-    const auto self = shared_from_this();
-    fleet->client_.Send(
-        MakeRequest(),
-        {.on_headers =
-             [self](int status, const HttpHeaders&) {
-               self->Last().status = status;
-             },
-         .on_data =
-             [self](std::string_view data) { self->Last().body += data; },
-         .on_end = [self](HttpEnd end) { self->OnEnd(end); }});
-  }
-
-  Transcript::Attempt& Last() const { return transcript->attempts.back(); }
-
-  void OnEnd(HttpEnd end) {
-    Last().whole = end == HttpEnd::kComplete;
-    const auto result = Judge();
-    const auto now = fleet->loop_.now();
-    if (IsFinal(result) || transcript->attempts.size() >= call.max_attempts ||
-        now - transcript->started > call.time_limit) {
-      transcript->end = result;
-      transcript->ended = now;
-      return;
-    }
-    router = (router + 1) % fleet->ports_.size();
-    fleet->loop_.after(kRetryDelay,
-                       [self = shared_from_this()] { self->Send(); });
-  }
-
-  Transcript::End Judge() const {
-    auto& attempt = Last();
-    transcript->answer.clear();
-    transcript->usage = {};
-    if (!attempt.whole) {
-      return Transcript::End::kBroken;
-    }
-    if (attempt.status == 200) {
-      return ReadAnswer() ? Transcript::End::kAnswered
-                          : Transcript::End::kBroken;
-    }
-    const auto error = ParseObject(attempt.body)["error"].toObject();
-    attempt.code = error["code"].toString().toStdString();
-    attempt.outcome = error["outcome"].toString().toStdString();
-    return attempt.outcome == "outcome_unknown"
-               ? Transcript::End::kOutcomeUnknown
-               : Transcript::End::kNotRun;
-  }
-
-  bool ReadAnswer() const {
-    const auto& body = Last().body;
-    if (call.prompt.empty()) {
-      transcript->answer = body;
-      return true;
-    }
-    if (call.stream) {
-      return ReadStream(body, *transcript);
-    }
-    AddCompletion(ParseObject(body), *transcript);
-    return true;
-  }
-
-  // A completion may run again; an order with an unknown outcome stays so.
-  bool IsFinal(Transcript::End result) const {
-    using enum Transcript::End;
-    return result == kAnswered || Last().code == "budget_exhausted" ||
-           (result == kOutcomeUnknown && call.prompt.empty());
-  }
-};
-
 Fleet::Fleet(const FleetOptions& options) : options_(options) {
   dir_.setAutoRemove(!qEnvironmentVariableIsSet("CROCUSLATCH_KEEP_LOGS"));
   StartStandins();
@@ -466,13 +231,9 @@
 }
 
 std::shared_ptr<const Transcript> Fleet::Start(const Call& call) {
-  const auto caller = std::make_shared<Caller>();
-  caller->call = call;
-  caller->fleet = this;
-  caller->router = call.router;
-  caller->transcript->started = loop_.now();
-  caller->Send();
-  return caller->transcript;
+  std::vector<std::uint16_t> ports;
+  std::ranges::transform(ports_, std::back_inserter(ports), &Ports::caller);
+  return StartCall(call, ports, &client_, loop_);
 }
 
 std::shared_ptr<const Transcript> Fleet::Run(const Call& call) {
@@ -509,14 +270,4 @@
           .body);
 }
 
-bool IsWholeAnswer(const Call& call, const Transcript& transcript) {
-  const auto length = standins::AnswerLength(call.prompt, call.max_tokens);
-  return transcript.end == Transcript::End::kAnswered &&
-         transcript.answer ==
-             standins::EngineAnswer(call.prompt, call.max_tokens) &&
-         transcript.usage["completion_tokens"].toInteger() == length &&
-         transcript.usage["prompt_tokens"].toInteger() ==
-             standins::CountPromptTokens(call.prompt);
-}
-
 }  // namespace crocuslatch::test
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -2,9 +2,7 @@
 #define TESTS_PROCESS_FLEET_H_
 
 #include <QJsonObject>
-#include <QProcess>
 #include <QTemporaryDir>
-#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -12,91 +10,13 @@
 #include "src/event_loop.h"
 #include "src/http_client.h"
 #include "src/types.h"
+#include "tests/process/caller.h"
+#include "tests/process/process.h"
 
-// Defines a harness that runs routers and stand-ins as processes, and callers
-// that record what they are told.
+// Defines a fleet of routers and stand-ins that run as processes.
 
 namespace crocuslatch::test {
 
-// Runs the event loop until `done` or the timeout; returns the last `done`.
-bool RunUntil(const std::function<bool()>& done, Millis timeout);
-void RunFor(Millis time);
-
-// A port that was free a moment ago.
-std::uint16_t FreePort();
-
-// A process of the build directory. It is killed with its owner, and also if
-// the test program itself is killed. Standard error goes to `log`.
-class Process {
- public:
-  Process(const std::string& program,
-          const std::vector<std::string>& arguments,
-          const std::string& log);
-  ~Process();
-  Process(const Process&) = delete;
-  Process& operator=(const Process&) = delete;
-
-  // Ports of a stand-in's "listening <port> [control <port>]" line.
-  std::uint16_t port() const { return port_; }
-  std::uint16_t control_port() const { return control_port_; }
-  // Waits for that line.
-  void WaitListening();
-  void Signal(int number) const;
-  bool IsRunning() const;
-  // Waits for the end; the exit status, or -1 if it was killed or still runs.
-  int WaitExit(Millis timeout);
-
- private:
-  QProcess process_;
-  std::uint16_t port_ = 0;
-  std::uint16_t control_port_ = 0;
-};
-
-// What one caller sent and was told, over all its attempts.
-struct Transcript {
-  enum class End { kRunning, kAnswered, kNotRun, kOutcomeUnknown, kBroken };
-  struct Attempt {
-    std::size_t router = 0;
-    int status = 0;
-    // False if the connection broke or the answer was cut short.
-    bool whole = false;
-    std::string body;
-    // Members of an error body.
-    std::string code;
-    std::string outcome;
-  };
-
-  // Result of the last attempt; kRunning until there is none left to make.
-  End end = End::kRunning;
-  std::vector<Attempt> attempts;
-  // Text of a completion, or the body of an order's answer.
-  std::string answer;
-  QJsonObject usage;
-  Millis started{0};
-  Millis ended{0};
-
-  std::size_t BytesReceived() const {
-    return attempts.empty() ? 0 : attempts.back().body.size();
-  }
-};
-
-struct Call {
-  // For a completion; an order if empty.
-  std::string prompt;
-  Tokens max_tokens = 32;
-  bool stream = true;
-  // For an order.
-  std::string body = "{}";
-  // Idempotency-Key; the same for all attempts.
-  std::string key;
-  std::string account = "small";
-  std::string rank;
-  // The first attempt goes to this router and each later one to the next.
-  std::size_t router = 0;
-  std::size_t max_attempts = 20;
-  Millis time_limit{30000};
-};
-
 struct FleetOptions {
   std::size_t routers = 3;
   std::size_t engines = 3;
@@ -116,8 +36,6 @@
   std::string body;
 };
 
-std::string Url(std::uint16_t port, const std::string& path);
-
 // The client accounts are "small" and "large", each with a budget
 // "<account>-main"; the ranks are "urgent", "normal" and "bulk"; the model is
 // "model" and the service, whose calls must not be repeated, is "booking".
@@ -128,6 +46,7 @@
   explicit Fleet(const FleetOptions& options);
   ~Fleet();
 
+  std::size_t router_count() const { return ports_.size(); }
   Process& router(std::size_t i) { return *routers_.at(i); }
   // Starts another process on the same host and addresses.
   void RestartRouter(std::size_t i);
@@ -164,7 +83,6 @@
   QJsonObject Admin(std::size_t router, const std::string& path);
 
  private:
-  struct Caller;
   struct Ports {
     std::uint16_t caller = 0;
     std::uint16_t admin = 0;
@@ -196,10 +114,6 @@
   HttpClient client_;
 };
 
-// True if the transcript ends with the whole answer to the call, and nothing
-// else.
-bool IsWholeAnswer(const Call& call, const Transcript& transcript);
-
 }  // namespace crocuslatch::test
 
 #endif  // TESTS_PROCESS_FLEET_H_
