--- a/src/model_request.cc
+++ b/src/model_request.cc
@@ -26,6 +26,9 @@
 // server: the caller has read a part of it and still listens.
 constexpr Millis kResumeTime{10000};
 constexpr Millis kCancelTimeout{2000};
+// Abort discards what is not yet handed to the kernel; without a delay the
+// last error event never reached the caller.
+constexpr Millis kAbortDelay{50};
 constexpr int kHttpOk = 200;
 
 QByteArray Bytes(std::string_view text) {
@@ -631,7 +634,8 @@
       // No [DONE] and a broken connection: the caller cannot take the part
       // that it has for the whole answer.
       WriteEvent(ErrorBody(error));
-      reply_.Abort();
+      context_.loop.after(kAbortDelay,
+                          [reply = reply_]() mutable { reply.Abort(); });
       return;
     }
     reply_.SendError(error);
--- /dev/null
+++ b/tests/correctness/order_request_test.cc
@@ -0,0 +1,207 @@
+#include "src/order_request.h"
+
+#include <catch2/catch.hpp>
+
+#include "tests/request_fixture.h"
+
+namespace crocuslatch {
+namespace {
+
+// A booking service that counts its runs.
+struct OrderFixture : RequestFixture {
+  int runs = 0;
+  std::string answer = "{\"order\":1}";
+  // Replaces the answer if set.
+  HttpHandler fault;
+
+  OrderFixture() {
+    AddBackend(
+        [this](const IncomingRequest& request, HttpReply reply) {
+          if (fault) {
+            fault(request, reply);
+            return;
+          }
+          ++runs;
+          reply.SendWhole(201, {{"Content-Type", "application/json"}}, answer);
+        },
+        true);
+    Start();
+  }
+
+  bool IsSettled() {
+    return RunUntil([this] { return context.claims->pending() == 0; });
+  }
+
+  Tokens OpenCharges() { return shard.budgets["one-main"].open_charges; }
+};
+
+void Refuse(const IncomingRequest&, HttpReply reply) {
+  reply.SendWhole(503, {{"X-Not-Run", "1"}}, "");
+}
+
+}  // namespace
+
+// Guards against a second run of an order whose caller asks again.
+TEST_CASE("a retry of a finished order gets the stored answer") {
+  OrderFixture fixture;
+  const auto first = fixture.Order("k");
+  REQUIRE(fixture.IsSettled());
+  const auto second = fixture.Order("k");
+  CHECK(first.status == 201);
+  CHECK(second.status == 201);
+  CHECK(second.body == first.body);
+  CHECK(FindHeader(second.headers, "X-Stored-Answer") == "1");
+  CHECK(fixture.runs == 1);
+  CHECK(fixture.BilledOrders() == 10);
+  CHECK(fixture.OpenCharges() == 0);
+}
+
+// Guards against large answers in the ledger.
+TEST_CASE("a large answer is kept as a note") {
+  OrderFixture fixture;
+  fixture.answer = std::string(5000, 'x');
+  CHECK(fixture.Order("k").body == fixture.answer);
+  REQUIRE(fixture.IsSettled());
+  const auto second = fixture.Order("k");
+  CHECK(second.status == 201);
+  CHECK_THAT(second.body, Catch::Contains("5000 bytes"));
+}
+
+// Guards against orders lost to a refusal that the service made in order.
+TEST_CASE("an order that the service refused to run can run later") {
+  OrderFixture fixture;
+  fixture.fault = Refuse;
+  const auto first = fixture.Order("k");
+  CHECK(first.Error("outcome") == "not_run");
+  REQUIRE(fixture.IsSettled());
+  CHECK(fixture.OpenCharges() == 0);
+  fixture.fault = nullptr;
+  CHECK(fixture.Order("k").status == 201);
+  CHECK(fixture.runs == 1);
+}
+
+// Guards against a doubt about an order that no server received.
+TEST_CASE("an order whose connection was refused did not run") {
+  RequestFixture fixture;
+  fixture.AddAddress(1, "booking");
+  fixture.Start();
+  const auto result = fixture.Order("k");
+  CHECK(result.Error("outcome") == "not_run");
+  RunUntil([&] { return fixture.context.claims->pending() == 0; });
+  CHECK(fixture.shard.budgets["one-main"].open_charges == 0);
+  CHECK(fixture.BilledOrders() == 0);
+}
+
+// Guards against a second run of an order whose answer was lost.
+TEST_CASE("an order without an answer is never run again") {
+  OrderFixture fixture;
+  const auto closes = GENERATE(true, false);
+  fixture.fault = [&](const IncomingRequest&, HttpReply reply) {
+    ++fixture.runs;
+    if (closes) {
+      reply.Abort();
+    }
+  };
+  CHECK(fixture.Order("k").Error("outcome") == "outcome_unknown");
+  REQUIRE(fixture.IsSettled());
+  fixture.fault = nullptr;
+  CHECK(fixture.Order("k").Error("outcome") == "outcome_unknown");
+  CHECK(fixture.runs == 1);
+  CHECK(fixture.BilledOrders() == 10);
+}
+
+// Guards against a dispatch for a claim that may not be durable.
+TEST_CASE("an order with an unconfirmed claim is not dispatched") {
+  OrderFixture fixture;
+  fixture.ledger = GENERATE(RequestFixture::Ledger::kLosesAnswers,
+                            RequestFixture::Ledger::kDown);
+  const auto first = fixture.Order("k");
+  CHECK(first.Error("code") == "claim_unconfirmed");
+  CHECK(first.Error("outcome") == "not_run");
+  CHECK(fixture.context.claims->pending() == 1);
+  fixture.ledger = RequestFixture::Ledger::kWorks;
+  REQUIRE(fixture.IsSettled());
+  CHECK(fixture.runs == 0);
+  CHECK(fixture.OpenCharges() == 0);
+  CHECK(fixture.Order("k").status == 201);
+}
+
+// Guards against a dispatch that the caller does not expect any more.
+TEST_CASE("an order with a late claim is abandoned") {
+  OrderFixture fixture;
+  fixture.ledger_delay = Millis{200};
+  const auto result = fixture.Call(
+      fixture.MakeCall("/v1/services/booking/orders", "{}",
+                       {{"Idempotency-Key", "k"}, {"X-Deadline-Ms", "100"}}));
+  CHECK(result.Error("outcome") == "not_run");
+  REQUIRE(fixture.IsSettled());
+  CHECK(fixture.runs == 0);
+  CHECK(fixture.OpenCharges() == 0);
+}
+
+// Guards against two runs by two routers, and against a false "not run" about
+// an order of a router that is gone.
+TEST_CASE("a retry at another router finds the claim of the first one") {
+  OrderFixture fixture;
+  const auto other = fixture.MakeClaims("other");
+  const auto digest = MakeRequestKey({"booking", "orders", "{}"});
+  std::optional<ClaimStatus> status;
+  other->Claim({.key = MakeRequestKey({"order", "one", "k"}),
+                .digest = digest,
+                .budget = "one-main",
+                .cost = 10},
+               [&](const ClaimResult& it) { status = it.status; });
+  REQUIRE(RunUntil([&] { return status.has_value(); }));
+  REQUIRE(status == ClaimStatus::kClaimed);
+  CHECK(fixture.Order("k").Error("outcome") == "in_progress");
+  fixture.gone_hosts = {"other"};
+  CHECK(fixture.Order("k").Error("outcome") == "outcome_unknown");
+  CHECK(fixture.Order("k", "[]").Error("code") == "idempotency_key_reused");
+  CHECK(fixture.runs == 0);
+}
+
+// Guards against "not run" about an order that ran, told because the service
+// takes no work at the moment.
+TEST_CASE("a refused retry is told about the earlier attempt") {
+  OrderFixture fixture;
+  CHECK(fixture.Order("k").status == 201);
+  REQUIRE(fixture.IsSettled());
+  fixture.context.backends->SetLeaving({"server-0"});
+  CHECK(fixture.Order("k").status == 201);
+  const auto other = fixture.Order("new");
+  CHECK(other.Error("code") == "no_backend_server");
+  CHECK(other.Error("outcome") == "not_run");
+  REQUIRE(fixture.IsSettled());
+  CHECK(fixture.runs == 1);
+  CHECK(fixture.OpenCharges() == 0);
+}
+
+// Guards against calls of repeatable services that are not paid for, and
+// against the lack of a retry that is allowed.
+TEST_CASE("a repeatable call is retried at another server and charged once") {
+  RequestFixture fixture;
+  int calls = 0;
+  for (int i = 0; i < 2; ++i) {
+    fixture.AddBackend(
+        [&calls](const IncomingRequest&, HttpReply reply) {
+          if (++calls == 1) {
+            reply.Abort();
+          } else {
+            reply.SendWhole(200, {}, "ok");
+          }
+        },
+        true);
+    fixture.document.backend_servers.back().service = "lookup";
+  }
+  fixture.Start();
+  const auto result =
+      fixture.Call(fixture.MakeCall("/v1/services/lookup/a/b", "{}", {}));
+  CHECK(result.status == 200);
+  CHECK(result.body == "ok");
+  CHECK(calls == 2);
+  REQUIRE(fixture.bills.size() == 1);
+  CHECK(fixture.bills[0].amount == 3);
+  CHECK(fixture.reserved == 0);
+}
+
+}  // namespace crocuslatch
