--- /dev/null
+++ b/tests/simulated_config_fleet.h
@@ -0,0 +1,329 @@
+#ifndef TESTS_SIMULATED_CONFIG_FLEET_H_
+#define TESTS_SIMULATED_CONFIG_FLEET_H_
+
+#include <fmt/format.h>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "src/config_keeper.h"
+#include "tests/fixture_document.h"
+
+// Defines configuration keepers with heartbeats over an in-memory store that
+// loses requests and answers and applies writes late, in virtual time.
+
+namespace crocuslatch {
+
+class VirtualLoop {
+ public:
+  Millis now() const { return now_; }
+  void After(Millis delay, Task task) {
+    tasks_.emplace(std::pair{now_ + delay, sequence_++}, std::move(task));
+  }
+  void RunFor(Millis duration) {
+    const auto end = now_ + duration;
+    while (!tasks_.empty() && tasks_.begin()->first.first <= end) {
+      auto node = tasks_.extract(tasks_.begin());
+      now_ = node.key().first;
+      node.mapped()();
+    }
+    now_ = end;
+  }
+  EventLoop Hooks() {
+    return {.post = [this](Task task) { After(Millis{0}, std::move(task)); },
+            .after = [this](Millis delay,
+                            Task task) { After(delay, std::move(task)); },
+            .now = [this] { return now_; }};
+  }
+
+ private:
+  Millis now_{0};
+  std::uint64_t sequence_ = 0;
+  std::map<std::pair<Millis, std::uint64_t>, Task> tasks_;
+};
+
+class SimulatedConfigFleet {
+ public:
+  SimulatedConfigFleet(int size, std::uint32_t seed)
+      : random_(seed), nodes_(size) {
+    for (int i = 0; i < size; ++i) {
+      Restart(i);
+      Beat(i);
+    }
+  }
+
+  // A new incarnation with nothing in force.
+  void Restart(int i) {
+    auto& node = nodes_[i];
+    node.last_version = 0;
+    node.keeper = std::make_unique<ConfigKeeper>(
+        ConfigKeeperOptions{},
+        ConfigKeeperHooks{
+            StoreOf(i), loop.Hooks(),
+            [this, i](const std::string& peer, PeerDocumentCallback callback) {
+              Fetch(i, std::stoi(peer), std::move(callback));
+            },
+            [this, i](const DocumentPointer& it) { OnInForce(i, *it); }});
+    // The first reading of the head is at another time at each keeper.
+    loop.After(Random(0, 2000), [this, i, raw = node.keeper.get()] {
+      if (nodes_[i].keeper.get() == raw) {
+        raw->Start();
+      }
+    });
+  }
+
+  // Submits a document with the given prepaid amount at keeper `i`.
+  void Apply(int i, std::uint64_t base, Tokens prepaid, std::string nonce) {
+    if (!IsUp(i)) {
+      return;
+    }
+    ++submissions[nonce];
+    auto document = ParseDocument(SmallDocument());
+    document.budgets[0].prepaid = prepaid;
+    nodes_[i].keeper->Apply(
+        {FormatDocument(document), base, nonce},
+        [this, nonce](const ApplyResult& it) { OnResult(nonce, it); });
+  }
+
+  // Null while the router is down.
+  DocumentPointer CurrentOf(int i) const {
+    return IsUp(i) ? nodes_[i].keeper->Current() : nullptr;
+  }
+
+  std::uint64_t VersionOf(int i) const {
+    const auto current = CurrentOf(i);
+    return current ? current->version : 0;
+  }
+
+  Tokens PrepaidOf(int i) const {
+    const auto current = CurrentOf(i);
+    return current ? current->document.budgets[0].prepaid : 0;
+  }
+
+  bool IsUp(int i) const { return nodes_[i].keeper != nullptr; }
+
+  std::uint64_t StoredVersion() const {
+    return written.empty() ? 0 : written.rbegin()->first;
+  }
+
+  int size() const { return static_cast<int>(nodes_.size()); }
+
+  void SetStoreLink(int i, bool up) { nodes_[i].store_link = up; }
+  void SetPeerLink(int i, bool up) { nodes_[i].peer_link = up; }
+  void SetFaultPercent(int percent) { fault_percent_ = percent; }
+  // Destroys the keeper when its next write of config/current takes effect,
+  // so that nothing after that write happens, and restarts it after `down`.
+  void CrashAtWrite(int i, Millis down) { nodes_[i].crash_at_write = down; }
+  // Cuts the keeper off the store when its next write of config/current takes
+  // effect, before the answer.
+  void CutAtWrite(int i) { nodes_[i].cut_at_write = true; }
+  // Cancels both for writes that have not happened.
+  void Disarm() {
+    for (auto& it : nodes_) {
+      it.crash_at_write.reset();
+      it.cut_at_write = false;
+    }
+  }
+
+  const std::string* StoreValue(const std::string& key) const {
+    const auto it = values_.find(key);
+    return it == values_.end() ? nullptr : &it->second.second;
+  }
+
+  VirtualLoop loop;
+  // Nonce of each version that config/current ever contained.
+  std::map<std::uint64_t, std::string> written;
+  // Results by nonce.
+  std::map<std::string, std::vector<ApplyResult>> results;
+  // Number of submissions by nonce; some never get a result.
+  std::map<std::string, int> submissions;
+  // Violations of the oracle, as text.
+  std::vector<std::string> violations;
+
+ private:
+  struct Node {
+    std::unique_ptr<ConfigKeeper> keeper;
+    bool store_link = true;
+    bool peer_link = true;
+    std::optional<Millis> crash_at_write;
+    bool cut_at_write = false;
+    std::uint64_t last_version = 0;
+  };
+
+  static constexpr Millis kStoreTimeout{1000};
+
+  int Draw(int least, int most) {
+    return std::uniform_int_distribution<int>(least, most)(random_);
+  }
+  Millis Random(int least, int most) { return Millis(Draw(least, most)); }
+  bool Faulty() { return Draw(0, 99) < fault_percent_; }
+
+  void Violate(std::string text) { violations.push_back(std::move(text)); }
+
+  void OnInForce(int i, const DocumentInForce& it) {
+    auto& last = nodes_[i].last_version;
+    if (it.version <= last) {
+      Violate(fmt::format("keeper {} went from version {} to {}", i, last,
+                          it.version));
+    }
+    last = it.version;
+    const auto [known, added] = hashes_.emplace(it.version, it.sha256);
+    if (!added && known->second != it.sha256) {
+      Violate(fmt::format("version {} has two contents", it.version));
+    }
+  }
+
+  void OnResult(const std::string& nonce, const ApplyResult& it) {
+    results[nonce].push_back(it);
+    const auto [other, added] = successes_.emplace(it.version, nonce);
+    if (it.status != ApplyStatus::kApplied) {
+      if (added) {
+        successes_.erase(other);
+      }
+    } else if (!added && other->second != nonce) {
+      Violate(fmt::format("version {} was applied twice", it.version));
+    }
+  }
+
+  // Every second the others hear of the version in force.
+  void Beat(int i) {
+    loop.After(Millis(1000), [this, i] { Beat(i); });
+    const auto current = CurrentOf(i);
+    for (int j = 0; current && j < size(); ++j) {
+      if (j != i && IsUp(j) && nodes_[i].peer_link && nodes_[j].peer_link &&
+          !Faulty()) {
+        nodes_[j].keeper->OnPeerVersion(std::to_string(i), current->version,
+                                        current->sha256);
+      }
+    }
+  }
+
+  // A faulty fetch is never answered.
+  void Fetch(int i, int j, PeerDocumentCallback callback) {
+    if (Faulty() || !nodes_[i].peer_link || !nodes_[j].peer_link) {
+      return;
+    }
+    loop.After(Random(1, 30), [this, j, callback = std::move(callback)] {
+      if (IsUp(j)) {
+        callback(nodes_[j].keeper->EncodedCurrent());
+      }
+    });
+  }
+
+  // Runs `effect` now, late or never, and answers with its result or, if the
+  // request, the effect or the answer is lost, with kUnknown.
+  void Call(int i,
+            const std::function<StoreResult()>& effect,
+            const StoreCallback& callback) {
+    const bool lost = !nodes_[i].store_link || Faulty();
+    const auto fate = lost ? Draw(0, 2) : -1;
+    const auto unknown = [callback] { callback(StoreResult{}); };
+    if (fate < 0) {
+      loop.After(Random(1, 20), [this, i, effect, callback, unknown] {
+        const auto result = effect();
+        const auto answer = [callback, result] { callback(result); };
+        if (nodes_[i].store_link) {
+          loop.After(Random(1, 20), answer);
+        } else {
+          loop.After(kStoreTimeout, unknown);
+        }
+      });
+      return;
+    }
+    loop.After(kStoreTimeout, unknown);
+    if (fate > 0 && nodes_[i].store_link) {
+      const auto delay = fate == 1 ? Random(1, 20) : Random(1000, 4000);
+      loop.After(delay, [effect] { effect(); });
+    }
+  }
+
+  StoreResult Get(const std::string& key) {
+    const auto it = values_.find(key);
+    if (it == values_.end()) {
+      return {StoreStatus::kNotFound, 0, {}};
+    }
+    return {StoreStatus::kOk, it->second.first, it->second.second};
+  }
+
+  StoreResult Put(int i,
+                  const std::string& key,
+                  const std::string& value,
+                  std::uint64_t expected) {
+    const auto present = Get(key).version;
+    if (present != expected) {
+      return {StoreStatus::kVersionConflict, present, {}};
+    }
+    values_[key] = {++store_version_, value};
+    if (key == "config/current") {
+      OnWritten(i, value);
+    }
+    return {StoreStatus::kOk, store_version_, {}};
+  }
+
+  void OnWritten(int i, const std::string& value) {
+    const auto stored = DecodeStoredDocument(value);
+    if (!stored || stored->version != StoredVersion() + 1) {
+      Violate("config/current does not contain the next version");
+      return;
+    }
+    written[stored->version] = stored->nonce;
+    if (std::exchange(nodes_[i].cut_at_write, false)) {
+      nodes_[i].store_link = false;
+    }
+    if (const auto down = std::exchange(nodes_[i].crash_at_write, {})) {
+      nodes_[i].keeper.reset();
+      loop.After(*down, [this, i] { Restart(i); });
+    }
+  }
+
+  Store StoreOf(int i) {
+    return {
+        .get =
+            [this, i](const std::string& key, StoreCallback callback) {
+              Call(
+                  i, [this, key] { return Get(key); }, callback);
+            },
+        .put =
+            [this, i](const std::string& key, const std::string& value,
+                      std::uint64_t expected, StoreCallback callback) {
+              Call(
+                  i,
+                  [this, i, key, value, expected] {
+                    return Put(i, key, value, expected);
+                  },
+                  callback);
+            },
+        .remove = {},
+        .list =
+            [this, i](const std::string& prefix, StoreListCallback callback) {
+              auto get = [this, prefix] { return Get(prefix); };
+              Call(i, get, [prefix, callback](const StoreResult& it) {
+                if (it.status == StoreStatus::kUnknown) {
+                  callback(it.status, {});
+                } else if (it.status == StoreStatus::kNotFound) {
+                  callback(StoreStatus::kOk, {});
+                } else {
+                  callback(StoreStatus::kOk, {{prefix, it.version}});
+                }
+              });
+            }};
+  }
+
+  std::mt19937 random_;
+  std::vector<Node> nodes_;
+  int fault_percent_ = 0;
+  std::uint64_t store_version_ = 0;
+  std::map<std::string, std::pair<std::uint64_t, std::string>> values_;
+  std::map<std::uint64_t, std::string> hashes_;
+  std::map<std::uint64_t, std::string> successes_;
+};
+
+}  // namespace crocuslatch
+
+#endif  // TESTS_SIMULATED_CONFIG_FLEET_H_
