--- a/src/config_keeper.cc
+++ b/src/config_keeper.cc
@@ -8,6 +8,7 @@
 
 #include "src/log.h"
 #include "src/sha256.h"
+#include "src/sha256.h"
 
 namespace crocuslatch {
 namespace {
--- a/src/stored_document.cc
+++ b/src/stored_document.cc
@@ -3,7 +3,6 @@
 #include <fmt/format.h>
 
 #include <QByteArray>
-#include <QCryptographicHash>
 #include <QRandomGenerator>
 #include <QtEndian>
 #include <algorithm>
--- a/tests/correctness/config_keeper_test.cc
+++ b/tests/correctness/config_keeper_test.cc
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "src/sha256.h"
 #include "tests/simulated_config_fleet.h"
 
 namespace crocuslatch {
--- a/tests/correctness/document_test.cc
+++ b/tests/correctness/document_test.cc
@@ -1,22 +1,15 @@
 #include "src/document.h"
 
-#include <QCryptographicHash>
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <set>
 
+#include "src/sha256.h"
 #include "tests/fixture_document.h"
 
 namespace crocuslatch {
 namespace {
 
-std::string Sha256Hex(const std::string& text) {
-  return QCryptographicHash::hash(QByteArray::fromStdString(text),
-                                  QCryptographicHash::Sha256)
-      .toHex()
-      .toStdString();
-}
-
 std::size_t CountModelReplicas(const Document& document) {
   return std::ranges::count_if(document.backend_servers, [](const auto& it) {
     return !it.model.empty();
--- a/tests/simulated_config_fleet.h
+++ b/tests/simulated_config_fleet.h
@@ -106,6 +106,7 @@
     return current ? current->document.budgets[0].prepaid : 0;
   }
 
+  ConfigKeeper* KeeperOf(int i) { return nodes_[i].keeper.get(); }
   bool IsUp(int i) const { return nodes_[i].keeper != nullptr; }
 
   std::uint64_t StoredVersion() const {
