--- a/models/budget.pml
+++ b/models/budget.pml
@@ -8,7 +8,7 @@
  *
  * Checked: the invariant of every stored value; at most `limit` different
  * requests run; each request is billed at most once.
- * Each MUTATION_* macro removes one rule and must be rejected. */
+ * Each macro named MUTATION_... removes one rule and must be rejected. */
 
 #define HOLDERS 2
 #ifndef REQUESTS
