--- a/src/ledger_client.cc
+++ b/src/ledger_client.cc
@@ -27,8 +27,38 @@
   LedgerCallback callback;
   // Peers left to ask, best first.
   std::vector<std::string> peers;
+  // A peer did not answer; it may still apply the commands later.
+  bool may_come_late = false;
 };
 
+bool IsRefused(const ShardReply& reply) {
+  return reply.status == ReplyStatus::kInsufficient ||
+         reply.status == ReplyStatus::kUnknownBudget;
+}
+
+bool IsClaim(const ShardCommand& command) {
+  return std::holds_alternative<ClaimCommand>(command);
+}
+
+// A refused claim leaves no record, so that a late copy of it could still
+// succeed after a top-up. Its result counts as unknown, and the caller
+// abandons the attempt.
+bool IsFinal(const Call& call, const std::vector<ShardReply>& replies) {
+  return !call.may_come_late || std::ranges::none_of(call.commands, IsClaim) ||
+         std::ranges::none_of(replies, IsRefused);
+}
+
+void Answer(const Call& call,
+            LedgerStatus status,
+            const std::vector<ShardReply>& replies) {
+  if (status == LedgerStatus::kDurable && IsFinal(call, replies)) {
+    call.callback(status, replies);
+  } else {
+    call.callback(LedgerStatus::kUnknown, {});
+  }
+}
+
+// The preferred writers before the router itself, which needs no peer.
 std::vector<std::string> PeersToAsk(const Client& client, std::uint32_t shard) {
   auto hosts = client.preferred_writers(shard);
   hosts.resize(std::min(hosts.size(), kMaxPeers));
@@ -44,8 +74,11 @@
     return;
   }
   if (call->peers.empty()) {
-    client->local(call->shard, std::move(call->commands), left,
-                  std::move(call->callback));
+    client->local(
+        call->shard, call->commands, left,
+        [call](LedgerStatus status, const std::vector<ShardReply>& replies) {
+          Answer(*call, status, replies);
+        });
     return;
   }
   const std::string host = call->peers.front();
@@ -55,8 +88,9 @@
                        [client, call](LedgerStatus status,
                                       const std::vector<ShardReply>& replies) {
                          if (status == LedgerStatus::kDurable) {
-                           call->callback(status, replies);
+                           Answer(*call, status, replies);
                          } else {
+                           call->may_come_late = true;
                            SendNext(client, call);
                          }
                        });
--- a/src/shard_state.cc
+++ b/src/shard_state.cc
@@ -168,20 +168,27 @@
          record.abandoned_attempts.end();
 }
 
+void AddAbandonedAttempt(ClaimRecord& record, std::uint64_t attempt) {
+  auto& attempts = record.abandoned_attempts;
+  attempts.push_back(attempt);
+  if (attempts.size() > kMaxAbandonedAttempts) {
+    attempts.erase(attempts.begin());
+  }
+}
+
 // The reply to a claim that the present record decides; nullopt if the
 // attempt may take the record.
-std::optional<ShardReply> DecidedBy(const ClaimRecord& record,
+std::optional<ShardReply> DecidedBy(ClaimRecord& record,
                                     const ClaimCommand& command) {
-  if (IsAbandoned(record, command.attempt)) {
-    return StatusReply(ReplyStatus::kNotHeld);
-  }
   // A record left by an Abandon that came first has no digest.
   const bool has_digest = record.digest != RequestKey{};
   if (has_digest && record.digest != command.digest) {
     return StatusReply(ReplyStatus::kKeyReused);
   }
+  const bool is_abandoned = IsAbandoned(record, command.attempt);
   if (record.state == ClaimState::kAbandoned) {
-    return std::nullopt;
+    return is_abandoned ? std::optional(StatusReply(ReplyStatus::kNotHeld))
+                        : std::nullopt;
   }
   if (record.state == ClaimState::kClaimed &&
       record.attempt == command.attempt) {
@@ -189,6 +196,11 @@
   }
   ShardReply reply = StatusReply(ReplyStatus::kExists);
   reply.claim = record;
+  // The refused attempt dispatches nothing. If the present one is abandoned,
+  // a late copy of this claim must not take the record.
+  if (record.state == ClaimState::kClaimed && !is_abandoned) {
+    AddAbandonedAttempt(record, command.attempt);
+  }
   return reply;
 }
 
@@ -258,14 +270,6 @@
   return StatusReply(ReplyStatus::kOk);
 }
 
-void AddAbandonedAttempt(ClaimRecord& record, std::uint64_t attempt) {
-  auto& attempts = record.abandoned_attempts;
-  attempts.push_back(attempt);
-  if (attempts.size() > kMaxAbandonedAttempts) {
-    attempts.erase(attempts.begin());
-  }
-}
-
 ShardReply ApplyOne(ShardState& state,
                     const AbandonCommand& command,
                     std::int64_t now_ms) {
