--- a/src/membership.cc
+++ b/src/membership.cc
@@ -304,6 +304,7 @@
     bool unreachable = false;
     std::uint64_t inverse_score = 0;
     std::string host;
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     auto operator<=>(const Candidate&) const = default;
   };
   std::vector<Candidate> candidates;
--- a/src/peer_network.cc
+++ b/src/peer_network.cc
@@ -445,7 +445,7 @@
                                std::uint32_t shard,
                                std::vector<ShardCommand> commands,
                                Millis timeout,
-                               LedgerCallback callback) {
+                               const LedgerCallback& callback) {
   state_->SendCommands(host, shard, std::move(commands), timeout, callback);
 }
 
--- a/src/peer_network.h
+++ b/src/peer_network.h
@@ -80,7 +80,7 @@
                     std::uint32_t shard,
                     std::vector<ShardCommand> commands,
                     Millis timeout,
-                    LedgerCallback callback);
+                    const LedgerCallback& callback);
   SendToPeer send_to_peer();
 
   // Asks a peer to return unused tokens of a budget; may get lost.
--- a/tests/correctness/membership_test.cc
+++ b/tests/correctness/membership_test.cc
@@ -11,6 +11,7 @@
 
 std::vector<HostEntry> MakeHosts(int count, int domains) {
   std::vector<HostEntry> hosts;
+  hosts.reserve(count);
   for (int n = 0; n < count; ++n) {
     hosts.push_back({.name = fmt::format("r{}", n),
                      .address = fmt::format("127.0.0.1:{}", 1000 + n),
