--- a/src/admin_api.cc
+++ b/src/admin_api.cc
@@ -19,6 +19,8 @@
 namespace {
 
 constexpr Millis kRetryAfter{1000};
+// Largest integer that every JSON reader keeps exact.
+constexpr std::uint64_t kMaxVersion = (1ULL << 53) - 1;
 
 constexpr char kDocumentPath[] = "/admin/v1/document";
 constexpr char kValidatePath[] = "/admin/v1/document/validate";
@@ -105,7 +107,7 @@
   std::uint64_t version = 0;
   const auto* end = text.data() + text.size();
   const auto [rest, ec] = std::from_chars(text.data(), end, version);
-  if (ec != std::errc() || rest != end) {
+  if (ec != std::errc() || rest != end || version > kMaxVersion) {
     return std::nullopt;
   }
   return version;
