--- a/tests/fake_store.h
+++ b/tests/fake_store.h
@@ -42,7 +42,7 @@
 
   // Hooks stay valid while this object lives. A store with hooks whose
   // `is_cut` returns true behaves as if the store were down.
-  Store Hooks(std::function<bool()> is_cut = [] { return false; }) {
+  Store Hooks(const std::function<bool()>& is_cut = [] { return false; }) {
     return {
         .get =
             [this, is_cut](const std::string& key, StoreCallback callback) {
@@ -69,7 +69,8 @@
                   std::move(callback));
             },
         .list =
-            [this](const std::string& prefix, StoreListCallback callback) {
+            [this](const std::string& prefix,
+                   const StoreListCallback& callback) {
               loop_.Hooks().after(faults.latency, [this, prefix, callback] {
                 callback(StoreStatus::kOk, List(prefix));
               });
--- a/tests/fuzz/ledger_fuzz_test.cc
+++ b/tests/fuzz/ledger_fuzz_test.cc
@@ -190,8 +190,8 @@
                              std::to_string((shard + 1) % kHosts)};
         },
         [this](const std::string& host, std::uint32_t shard,
-               std::vector<ShardCommand> commands, Millis timeout,
-               LedgerCallback callback) {
+               const std::vector<ShardCommand>& commands, Millis timeout,
+               const LedgerCallback& callback) {
           SendToPeer(std::stoi(host), shard, commands, timeout, callback);
         },
         hosts_[n].writer);
