Keep broken streams of removed ranks, bound the pause of claims

A document that removes a rank refused a broken stream of that rank as not_run, although it had run; it now goes on. An order is also abandoned if its claim took longer than the claim timeout and the dispatch bound together.

--- a/src/caller_api.cc
+++ b/src/caller_api.cc
@@ -42,8 +42,7 @@
                        const ApiKeyConfig& key,
                        const Document& document) {
   const auto header = FindHeader(request.headers, "X-Budget");
-  const std::string name(header.empty() ? std::string_view(key.budget)
-                                        : header);
+  std::string name(header.empty() ? std::string_view(key.budget) : header);
   if (name.empty()) {
     throw BadRequest(400, "budget_required", "the API key has no budget",
                      "name a budget of the client account in X-Budget");
--- a/src/model_request.cc
+++ b/src/model_request.cc
@@ -418,7 +418,9 @@
                                Measure::kBetweenTokens,
                                Since(last_token_at_, now));
     }
-    context_.backends->ConfirmTrial(*choice_);
+    if (choice_->is_trial) {
+      context_.backends->ConfirmTrial(*choice_);
+    }
     last_token_at_ = now;
     ++next_index_;
     if (!body_.stream) {
--- a/src/order_request.cc
+++ b/src/order_request.cc
@@ -187,6 +187,7 @@
 
   void Claim(Millis timeout) {
     is_claiming_ = true;
+    claim_sent_at_ = context_.loop.now();
     context_.claims->Claim(
         {.key = key_,
          .digest = digest_,
@@ -230,7 +231,9 @@
     const auto now = context_.loop.now();
     if (refusal_ || is_done_) {
       AbandonClaim(refusal_.value_or(DeadlinePassed()));
-    } else if (now >= deadline_ || now - confirmed_at > kLongestDispatchDelay) {
+    } else if (now >= deadline_ || now - confirmed_at > kLongestDispatchDelay ||
+               now - claim_sent_at_ >
+                   kLongestClaimWait + kLongestDispatchDelay) {
       AbandonClaim(DeadlinePassed());
     } else {
       Dispatch();
@@ -460,6 +463,7 @@
   bool is_done_ = false;
   bool is_counted_ = false;
   Millis queued_at_{0};
+  Millis claim_sent_at_{0};
   std::optional<WorkId> work_;
   std::optional<BackendChoice> choice_;
   std::set<std::string> avoid_;
--- a/src/scheduler.cc
+++ b/src/scheduler.cc
@@ -62,7 +62,8 @@
                                      const QueuedWork& work,
                                      Millis now) {
   const auto rank = RankIndex(work.rank);
-  if (!rank) {
+  // A document may remove the rank of a stream that is being served.
+  if (!rank && !work.resumed) {
     return EnqueueStatus::kUnknownRank;
   }
   auto& lane = LaneOf(work.target);
@@ -83,7 +84,7 @@
   ++lane.count;
   queued_bytes_ += work.bytes;
   places_[id] = {.target = work.target,
-                 .rank = *rank,
+                 .rank = rank.value_or(0),
                  .client_account = work.client_account,
                  .resumed = work.resumed};
   if (work.resumed) {
--- a/tests/correctness/order_request_test.cc
+++ b/tests/correctness/order_request_test.cc
@@ -139,6 +139,18 @@
   CHECK(fixture.OpenCharges() == 0);
 }
 
+// Guards against a dispatch by a process that was paused for so long that its
+// claim may already be taken for that of a router that is gone.
+TEST_CASE("an order whose process was paused after its claim is abandoned") {
+  OrderFixture fixture;
+  fixture.pause_after_claim = kLongestDispatchDelay + Millis{100};
+  CHECK(fixture.Order("k").Error("outcome") == "not_run");
+  fixture.pause_after_claim = Millis{0};
+  REQUIRE(fixture.IsSettled());
+  CHECK(fixture.runs == 0);
+  CHECK(fixture.OpenCharges() == 0);
+}
+
 // Guards against two runs by two routers, and against a false "not run" about
 // an order of a router that is gone.
 TEST_CASE("a retry at another router finds the claim of the first one") {
--- a/tests/correctness/scheduler_test.cc
+++ b/tests/correctness/scheduler_test.cc
@@ -1,6 +1,10 @@
 #include "src/scheduler.h"
 
+#include <atomic>
 #include <catch2/catch.hpp>
+#include <thread>
+
+#include "src/backend_table.h"
 
 namespace crocuslatch {
 namespace {
@@ -128,11 +132,73 @@
   REQUIRE(core.Enqueue(2, Work("urgent"), kStart) == EnqueueStatus::kQueued);
   core.SetRanks({{.name = "new"}, {.name = "bulk"}, {.name = "least"}});
   CHECK(core.queued() == 2);
+  // A stream of the removed rank that broke still goes on.
+  auto resumed = Work("urgent");
+  resumed.resumed = true;
+  REQUIRE(core.Enqueue(3, resumed, kStart) == EnqueueStatus::kQueued);
+  CHECK(core.Next(kStart, Always) == WorkId{3});
   CHECK(core.Next(kStart, Always) == WorkId{1});
   CHECK(core.Cancel(2));
   CHECK(core.queued() == 0);
 }
 
+// Guards against data races and deadlocks between the workers' threads: every
+// work is started or cancelled once, and no slot is taken twice.
+TEST_CASE("workers on several threads share the scheduler and the table") {
+  const auto now = [] { return kStart; };
+  Scheduler scheduler({}, now);
+  scheduler.SetRanks(Ranks());
+  BackendTable table({}, "self", now, 1);
+  Document document;
+  document.backend_servers = {
+      {.name = "a", .address = "a:1", .model = "m", .slots = 3}};
+  table.SetDocument(document);
+  std::atomic<int> running = 0;
+  std::atomic<int> most = 0;
+  std::atomic<int> ended = 0;
+  std::atomic<int> refused = 0;
+  const auto work = [&] {
+    for (int i = 0; i < 2000; ++i) {
+      const auto choice = std::make_shared<std::optional<BackendChoice>>();
+      WorkId id = 0;
+      const auto status = scheduler.Enqueue(
+          Work("bulk"),
+          [&table, choice](bool last) {
+            *choice = table.Choose({.target = ModelTarget("m"),
+                                    .prompt = "p",
+                                    .may_use_last_slots = last});
+            return choice->has_value();
+          },
+          [&, choice] {
+            most = std::max<int>(most, ++running);
+            --running;
+            table.Release(**choice, BackendResult::kSucceeded);
+            ++ended;
+          },
+          &id);
+      // Catch's checks are for one thread only.
+      refused += status == EnqueueStatus::kQueued ? 0 : 1;
+      if (i % 3 == 0 && scheduler.Cancel(id)) {
+        ++ended;
+      }
+      scheduler.Run();
+    }
+  };
+  std::vector<std::thread> threads;
+  for (int i = 0; i < 4; ++i) {
+    threads.emplace_back(work);
+  }
+  for (auto& it : threads) {
+    it.join();
+  }
+  while (scheduler.queued() > 0) {
+    scheduler.Run();
+  }
+  CHECK(refused == 0);
+  CHECK(ended == 8000);
+  CHECK(most <= 3);
+}
+
 // Guards against a start after a successful cancellation.
 TEST_CASE("the scheduler's handle starts or cancels, never both") {
   Scheduler scheduler({}, [] { return kStart; });
--- a/tests/request_fixture.h
+++ b/tests/request_fixture.h
@@ -7,6 +7,7 @@
 #include <QJsonObject>
 #include <deque>
 #include <random>
+#include <thread>
 
 #include "src/caller_api.h"
 #include "src/document.h"
@@ -48,6 +49,7 @@
 
   Ledger ledger = Ledger::kWorks;
   Millis ledger_delay{0};
+  Millis pause_after_claim{0};
   ShardState shard;
   std::set<std::string> gone_hosts;
   Tokens free_tokens = 1000;
@@ -95,8 +97,8 @@
   void Start() {
     context.loop = loop;
     context.client = &backend_client;
-    const auto present = std::make_shared<const Document>(document);
-    context.document = [present] { return present; };
+    context.document = [present = std::make_shared<const Document>(document)]()
+        -> std::shared_ptr<const Document> { return present; };
     context.scheduler =
         std::make_shared<Scheduler>(SchedulerOptions{}, loop.now);
     context.scheduler->SetRanks(document.ranks);
@@ -154,7 +156,11 @@
     }
     const auto status = ledger == Ledger::kWorks ? LedgerStatus::kDurable
                                                  : LedgerStatus::kUnknown;
-    loop.after(ledger_delay, [=] { done(status, replies); });
+    loop.after(ledger_delay, [this, done, status, replies] {
+      done(status, replies);
+      // A pause of the process between the confirmation and what follows.
+      std::this_thread::sleep_for(pause_after_claim);
+    });
   }
 
   HttpRequest MakeCall(const std::string& path,
