--- a/src/config_keeper.cc
+++ b/src/config_keeper.cc
@@ -8,7 +8,6 @@
 
 #include "src/log.h"
 #include "src/sha256.h"
-#include "src/sha256.h"
 
 namespace crocuslatch {
 namespace {
--- a/src/router.cc
+++ b/src/router.cc
@@ -124,8 +124,8 @@
   bool stopping = false;
 
   void Start() {
-    store = MakeHttpStore(
-        {settings.store_url, settings.periods.store_timeout}, loop, &client);
+    store = MakeHttpStore({settings.store_url, settings.periods.store_timeout},
+                          loop, &client);
     StartPeers();
     StartKeeper();
     host_list = std::make_unique<HostList>(
@@ -147,8 +147,8 @@
     options.heartbeat_period = settings.periods.heartbeat;
     PeerNetworkHooks hooks;
     hooks.apply = [this](std::uint32_t shard, auto commands, Millis timeout,
-                         LedgerCallback callback) {
-      ApplyForPeer(shard, std::move(commands), timeout, std::move(callback));
+                         const LedgerCallback& callback) {
+      ApplyForPeer(shard, std::move(commands), timeout, callback);
     };
     hooks.on_recall = [this](const std::string& budget) {
       if (grants) {
@@ -186,8 +186,8 @@
   void StartAdmin() {
     AdminApiHooks hooks;
     hooks.keeper = keeper.get();
-    hooks.ledger = [this](const std::string& budget, auto callback) {
-      ReportBudget(budget, std::move(callback));
+    hooks.ledger = [this](const std::string& budget, const auto& callback) {
+      ReportBudget(budget, callback);
     };
     hooks.status = [this] { return StatusReport(View()); };
     hooks.histograms = [this] { return metrics->Json(); };
@@ -219,26 +219,25 @@
   }
 
   void ReportBudget(const std::string& budget,
-                    std::function<void(std::string)> callback) {
+                    const std::function<void(std::string)>& callback) {
     const auto prepaid = limits.Find(budget);
     if (shard_count == 0 || !prepaid) {
       callback("");
       return;
     }
-    ReadShard(
-        store, ShardOfBudget(budget, shard_count),
-        [self = weak_from_this(), budget, prepaid, callback](
-            StoreStatus status, const ShardState& state) {
-          const auto core = self.lock();
-          if (!core || status != StoreStatus::kOk) {
-            callback("");
-            return;
-          }
-          const auto is_gone = [&core](const HolderId& it) {
-            return core->membership.IsGone(it);
-          };
-          callback(LedgerReport(budget, *prepaid, state, is_gone));
-        });
+    ReadShard(store, ShardOfBudget(budget, shard_count),
+              [self = weak_from_this(), budget, prepaid, callback](
+                  StoreStatus status, const ShardState& state) {
+                const auto core = self.lock();
+                if (!core || status != StoreStatus::kOk) {
+                  callback("");
+                  return;
+                }
+                const auto is_gone = [&core](const HolderId& it) {
+                  return core->membership.IsGone(it);
+                };
+                callback(LedgerReport(budget, *prepaid, state, is_gone));
+              });
   }
 
   PeerHeartbeat MakeHeartbeat() {
@@ -314,8 +313,8 @@
         peers->SendRecall(it.host, budget);
         continue;
       }
-      Log(LogEvent::kHolderFrozen, "holder {} is gone; budget {}",
-          ToString(it), budget);
+      Log(LogEvent::kHolderFrozen, "holder {} is gone; budget {}", ToString(it),
+          budget);
       ledger(ShardOfBudget(budget, shard_count), {FreezeCommand{it}},
              settings.periods.store_timeout, [](auto, const auto&) {});
     }
@@ -324,21 +323,21 @@
   void ApplyForPeer(std::uint32_t shard,
                     std::vector<ShardCommand> commands,
                     Millis timeout,
-                    LedgerCallback callback) {
+                    const LedgerCallback& callback) {
     if (!local_writer || shard >= shard_count) {
       callback(LedgerStatus::kUnknown, {});
       return;
     }
-    local_writer(shard, std::move(commands), timeout, std::move(callback));
+    local_writer(shard, std::move(commands), timeout, callback);
   }
 
   RequestContext MakeContext() {
     RequestContext context;
     context.document = [this]() -> std::shared_ptr<const Document> {
       const auto current = keeper->Current();
-      return current ? std::shared_ptr<const Document>(current,
-                                                       &current->document)
-                     : nullptr;
+      return current
+                 ? std::shared_ptr<const Document>(current, &current->document)
+                 : nullptr;
     };
     context.scheduler = scheduler;
     context.backends = backends;
@@ -380,7 +379,7 @@
         settings.host_name, options.port, admin->port(), peers->port());
   }
 
-  void Stop(std::function<void()> stopped) {
+  void Stop(const std::function<void()>& stopped) {
     if (stopping) {
       return;
     }
@@ -389,10 +388,10 @@
     for (const auto& it : workers) {
       it->StopAccepting();
     }
-    WaitForRequests(std::move(stopped));
+    WaitForRequests(stopped);
   }
 
-  void WaitForRequests(std::function<void()> stopped) {
+  void WaitForRequests(const std::function<void()>& stopped) {
     const bool busy = std::ranges::any_of(
         workers, [](const auto& it) { return it->open_requests() > 0; });
     if (busy) {
@@ -402,7 +401,7 @@
     loop.after(kStopLinger, [this, stopped] { CloseLedger(stopped); });
   }
 
-  void CloseLedger(std::function<void()> stopped) {
+  void CloseLedger(const std::function<void()>& stopped) {
     if (!grants) {
       stopped();
       return;
@@ -413,7 +412,7 @@
     loop.after(kStopLedgerLimit, stopped);
   }
 
-  void WaitForClaims(std::function<void()> stopped, Millis limit) {
+  void WaitForClaims(const std::function<void()>& stopped, Millis limit) {
     if (claims->pending() > 0 && loop.now() < limit) {
       loop.after(kStopPoll,
                  [this, stopped, limit] { WaitForClaims(stopped, limit); });
@@ -433,8 +432,8 @@
   core_->workers.clear();
 }
 
-void Router::Stop(std::function<void()> stopped) {
-  core_->Stop(std::move(stopped));
+void Router::Stop(const std::function<void()>& stopped) {
+  core_->Stop(stopped);
 }
 
 }  // namespace crocuslatch
--- a/src/router.h
+++ b/src/router.h
@@ -23,7 +23,7 @@
 
   // Planned stop: refuses new requests, lets those in flight end, settles and
   // returns all grants, then calls `stopped`. Repeated calls do nothing.
-  void Stop(std::function<void()> stopped);
+  void Stop(const std::function<void()>& stopped);
 
  private:
   struct Core;
--- a/src/worker.cc
+++ b/src/worker.cc
@@ -79,8 +79,8 @@
   core_->context = std::move(context);
   std::promise<void> started;
   auto result = started.get_future();
-  core_->thread.reset(QThread::create(
-      [core = core_.get(), &started] { core->Run(&started); }));
+  core_->thread.reset(
+      QThread::create([core = core_.get(), &started] { core->Run(&started); }));
   core_->thread->start();
   try {
     result.get();
--- a/tests/correctness/document_edit_test.cc
+++ b/tests/correctness/document_edit_test.cc
@@ -23,8 +23,8 @@
             "~ budget one-main: prepaid 1000 -> 2000",
             "~ client_account one: ranks (none) -> [ 'urgent' ]",
             "~ limits: stall_timeout_ms 2000 -> 3000",
-            "- service booking: cost = 1, repeatable = false, "
-            "timeout_ms = 10000",
+            ("- service booking: cost = 1, repeatable = false, "
+             "timeout_ms = 10000"),
             "+ budget two: client_account = 'one', prepaid = 5"});
 }
 
--- a/tests/correctness/scheduler_test.cc
+++ b/tests/correctness/scheduler_test.cc
@@ -185,6 +185,7 @@
     }
   };
   std::vector<std::thread> threads;
+  threads.reserve(4);
   for (int i = 0; i < 4; ++i) {
     threads.emplace_back(work);
   }
--- a/tests/performance/document_performance_test.cc
+++ b/tests/performance/document_performance_test.cc
@@ -28,7 +28,7 @@
   for (int i = 0; i < kBudgets; ++i) {
     out.budgets.push_back({fmt::format("budget-{}", i),
                            fmt::format("account-{}", i % kClientAccounts),
-                           i * 7919});
+                           Tokens{i} * 7919});
   }
   for (int i = 0; i < kClientAccounts; ++i) {
     out.api_keys.push_back({fmt::format("{:064x}", i * 2654435761U),
--- a/tests/simulated_config_fleet.h
+++ b/tests/simulated_config_fleet.h
@@ -79,7 +79,10 @@
   }
 
   // Submits a document with the given prepaid amount at keeper `i`.
-  void Apply(int i, std::uint64_t base, Tokens prepaid, std::string nonce) {
+  void Apply(int i,
+             std::uint64_t base,
+             Tokens prepaid,
+             const std::string& nonce) {
     if (!IsUp(i)) {
       return;
     }
@@ -286,13 +289,13 @@
   Store StoreOf(int i) {
     return {
         .get =
-            [this, i](const std::string& key, StoreCallback callback) {
+            [this, i](const std::string& key, const StoreCallback& callback) {
               Call(
                   i, [this, key] { return Get(key); }, callback);
             },
         .put =
             [this, i](const std::string& key, const std::string& value,
-                      std::uint64_t expected, StoreCallback callback) {
+                      std::uint64_t expected, const StoreCallback& callback) {
               Call(
                   i,
                   [this, i, key, value, expected] {
@@ -302,7 +305,8 @@
             },
         .remove = {},
         .list =
-            [this, i](const std::string& prefix, StoreListCallback callback) {
+            [this, i](const std::string& prefix,
+                      const StoreListCallback& callback) {
               auto get = [this, prefix] { return Get(prefix); };
               Call(i, get, [prefix, callback](const StoreResult& it) {
                 if (it.status == StoreStatus::kUnknown) {
