Let the test of mixed streams carry another text

With the request id check removed, the test still passed, because the foreign event had the text of the missing token. It now has a text of its own.

--- a/tests/correctness/model_request_test.cc
+++ b/tests/correctness/model_request_test.cc
@@ -166,8 +166,12 @@
       faults{
           {"crash", Crash},
           {"silent", [](HttpReply&, const EngineRequest&) {}},
-          {"mix", [](HttpReply& reply,
-                     const EngineRequest&) { SendToken(reply, "other", 2); }},
+          {"mix",
+           [](HttpReply& reply, const EngineRequest&) {
+             reply.Write(
+                 "data: {\"request_id\":\"other\",\"index\":2,"
+                 "\"text\":\"<other>\"}\n\n");
+           }},
           {"skip", [](HttpReply& reply,
                       const EngineRequest& it) { SendToken(reply, it.id, 3); }},
           {"repeat",
