Queue messages until a peer is authenticated

A recall on a new connection was dropped, so the first recall of every budget was lost and the caller waited 300 ms in vain. Heartbeats now leave out unreachable neighbours while there are others, since the host list names a lost rack for a while. A test for each failed before the change or guards the order.

--- a/src/membership.cc
+++ b/src/membership.cc
@@ -212,7 +212,17 @@
     return result;
   }
 
+  // Unreachable hosts come last: the list names a lost rack for a while.
   std::vector<std::string> HeartbeatPeers() const {
+    auto result = HeartbeatOrder();
+    std::ranges::stable_partition(
+        result, [this](const auto& it) { return IsReachable(it); });
+    result.resize(std::min(result.size(), options.heartbeat_peers));
+    return result;
+  }
+
+  // All other live routers, best first.
+  std::vector<std::string> HeartbeatOrder() const {
     const auto near = RingOfOwnDomain();
     const auto domains = OtherDomains();
     const auto k = options.heartbeat_peers;
@@ -226,7 +236,6 @@
       AppendInTurn(domains, turn, result);
     }
     result.insert(result.end(), rest, near.end());
-    result.resize(std::min(result.size(), k));
     return result;
   }
 
--- a/src/peer_link.cc
+++ b/src/peer_link.cc
@@ -187,7 +187,7 @@
   PeerFrameDecoder decoder;
   std::map<std::uint64_t, OnReply> pending;
   std::uint64_t last_request = 0;
-  // Frames of requests that wait for authentication.
+  // Frames that wait for authentication.
   std::string waiting;
   Clock::time_point last_received = Clock::now();
   Clock::time_point last_used = Clock::now();
@@ -207,7 +207,7 @@
     StartTimer(auth_timer, options.auth_timeout, "authentication timeout");
     if (role == PeerRole::kConnector &&
         socket->state() == QAbstractSocket::ConnectedState) {
-      SendFrame(0, PackHello(own));
+      Introduce(PackHello(own));
     }
   }
 
@@ -233,7 +233,7 @@
 
   void OnConnected() {
     if (role == PeerRole::kConnector) {
-      SendFrame(0, PackHello(own));
+      Introduce(PackHello(own));
     }
   }
 
@@ -304,9 +304,9 @@
     // The connector proves itself first, so that a stranger who connects
     // gets no proof to guess the secret from.
     if (role == PeerRole::kConnector) {
-      SendFrame(0, PackProof(Proof(role)));
+      Introduce(PackProof(Proof(role)));
     } else {
-      SendFrame(0, PackHello(own));
+      Introduce(PackHello(own));
     }
   }
 
@@ -324,7 +324,7 @@
       return;
     }
     if (role == PeerRole::kAcceptor) {
-      SendFrame(0, PackProof(Proof(role)));
+      Introduce(PackProof(Proof(role)));
     }
     BecomeReady();
   }
@@ -377,8 +377,8 @@
       if (!it || it->phase != Phase::kReady || std::exchange(*replied, true)) {
         return;
       }
-      if (!it->SendFrame(id, body)) {
-        it->SendFrame(id, PackReplyTooLong());
+      if (!it->SendMessage(id, body)) {
+        it->SendMessage(id, PackReplyTooLong());
       }
     };
   }
@@ -387,7 +387,7 @@
     const auto id = ++last_request;
     last_used = Clock::now();
     pending.emplace(id, std::move(on_reply));
-    const bool sent = phase != Phase::kClosed && SendFrame(id, body);
+    const bool sent = SendMessage(id, body);
     QTimer::singleShot(sent ? timeout : Millis{0}, Qt::PreciseTimer, context,
                        [self = weak_from_this(), id, sent_at = last_used] {
                          if (const auto it = self.lock()) {
@@ -412,24 +412,27 @@
   }
 
   // False if the message is too long for a frame or too many wait.
-  bool SendFrame(std::uint64_t id, const PackBody& body) {
+  bool SendMessage(std::uint64_t id, const PackBody& body) {
     std::string frame;
     try {
       frame = MakeFrame(id, body);
     } catch (const PeerFrameError&) {
       return false;
     }
-    if (phase == Phase::kReady || id == 0) {
+    if (phase == Phase::kReady) {
       WriteBytes(frame);
       return true;
     }
-    if (waiting.size() > kMaxUnsentBytes) {
+    if (phase == Phase::kClosed || waiting.size() > kMaxUnsentBytes) {
       return false;
     }
     waiting += frame;
     return true;
   }
 
+  // Introductions and proofs do not wait for authentication.
+  void Introduce(const PackBody& body) { WriteBytes(MakeFrame(0, body)); }
+
   void WriteBytes(const std::string& bytes) {
     if (static_cast<std::size_t>(socket->bytesToWrite()) > kMaxUnsentBytes) {
       Close("the peer reads too slowly");
@@ -506,10 +509,8 @@
 }
 
 void PeerLink::Send(const PackBody& body) {
-  if (state_->phase == State::Phase::kReady) {
-    state_->last_used = Clock::now();
-    state_->SendFrame(0, body);
-  }
+  state_->last_used = Clock::now();
+  state_->SendMessage(0, body);
 }
 
 void PeerLink::SetSilenceLimit(Millis limit) {
--- a/src/peer_link.h
+++ b/src/peer_link.h
@@ -88,7 +88,7 @@
   // Sent once the peer is authenticated. The callback comes exactly once,
   // never from inside the call, unless the link is destroyed first.
   void Request(const PackBody& body, Millis timeout, OnReply on_reply);
-  // Dropped if the peer is not authenticated yet.
+  // A message without a reply; gets lost if the connection fails.
   void Send(const PackBody& body);
   // Shorter limit for connections with regular heartbeats.
   void SetSilenceLimit(Millis limit);
--- a/tests/correctness/membership_test.cc
+++ b/tests/correctness/membership_test.cc
@@ -106,6 +106,24 @@
   CHECK(CountReached(MakeHosts(3, 3)) == 3);
 }
 
+// Guards against a router cut off because its neighbours are down.
+TEST_CASE(
+    "heartbeats leave out unreachable peers as long as there are others") {
+  Fixture fixture("r0");
+  fixture.table.SetHosts(MakeHosts(30, 3));
+  const auto before = fixture.table.HeartbeatPeers();
+  for (const auto& it : before) {
+    fixture.table.OnUnreachable(it);
+  }
+  const auto others = fixture.table.HeartbeatPeers();
+  CHECK(others.size() == 4);
+  for (const auto& it : others) {
+    CHECK(std::ranges::find(before, it) == before.end());
+  }
+  fixture.now += Millis{5000};
+  CHECK(fixture.table.HeartbeatPeers() == before);
+}
+
 TEST_CASE("heartbeats reach every other failure domain in turn") {
   Fixture fixture("r0");
   fixture.table.SetHosts(MakeHosts(80, 8));
--- a/tests/error/peer_network_test.cc
+++ b/tests/error/peer_network_test.cc
@@ -156,6 +156,14 @@
   }
 }
 
+// Guards against a first recall that gets lost, which makes a request wait in
+// vain for tokens that another router holds.
+TEST_CASE("a recall opens the connection") {
+  Fixture it;
+  it.a.network->SendRecall("b", "busy");
+  CHECK(RunUntil([&] { return it.b.recalls.size() == 1; }));
+}
+
 TEST_CASE("heartbeats go both ways and a lost peer is reached again") {
   Fixture it;
   it.a.heartbeat_peers = {"b"};
