--- a/src/grant_table.cc
+++ b/src/grant_table.cc
@@ -87,7 +87,7 @@
 }
 
 Tokens RecentUse(const Budget& budget, Millis since) {
-  Tokens sum = budget.reserved;
+  Tokens sum = 0;
   for (const auto& it : budget.uses) {
     sum += it.at >= since ? it.amount : 0;
   }
@@ -336,6 +336,8 @@
       return;
     }
     it->second.is_recalled = true;
+    // A refill would take the tokens from the router that is short of them.
+    it->second.refill_after = loop_.now() + options_.settle_period;
   }
   PumpSoon(name);
 }
--- /dev/null
+++ b/tests/correctness/grant_table_test.cc
@@ -0,0 +1,243 @@
+#include "src/grant_table.h"
+
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <map>
+#include <mutex>
+#include <thread>
+
+#include "tests/fixture_ledger.h"
+
+namespace crocuslatch {
+namespace {
+
+// Routers that share one ledger shard writer.
+struct Routers {
+  LedgerFixture ledger;
+  ApplyToShard apply = ledger.Writer();
+  std::map<std::string, Tokens> limits{{"b", 1000}};
+  std::vector<std::unique_ptr<GrantTable>> tables;
+  int recalls = 0;
+
+  explicit Routers(int n) {
+    for (int i = 0; i < n; ++i) {
+      GrantTableOptions options;
+      options.shard_count = 1;
+      options.recall = [this, i](const std::string& budget, const auto&) {
+        recalls += 1;
+        tables[1 - i]->Recall(budget);
+      };
+      tables.push_back(std::make_unique<GrantTable>(
+          options, HolderId{std::to_string(i), 1}, ledger.loop.Hooks(), apply,
+          [this](const std::string& name) -> std::optional<Tokens> {
+            const auto it = limits.find(name);
+            return it == limits.end() ? std::nullopt
+                                      : std::optional(it->second);
+          }));
+    }
+  }
+
+  void Run(int ms) { ledger.loop.RunFor(Millis(ms)); }
+
+  // The result within `ms`, or nullopt if there is none.
+  std::optional<ReserveStatus> Reserve(int table, Tokens amount, int ms = 500) {
+    std::optional<ReserveStatus> result;
+    tables[table]->Reserve("b", amount, Millis(ms),
+                           [&](ReserveStatus status) { result = status; });
+    ledger.loop.RunUntil([&] { return result.has_value(); }, Millis(ms + 1));
+    return result;
+  }
+
+  BudgetRecord Budget() { return ledger.Stored().budgets.at("b"); }
+};
+
+}  // namespace
+
+// Guards against a billed total that differs from what was used.
+TEST_CASE("a reservation is granted, settled and returned") {
+  Routers routers(1);
+  CHECK(routers.Reserve(0, 100) == ReserveStatus::kReserved);
+  CHECK(routers.Budget().limit == 1000);
+  routers.tables[0]->Settle("b", 100, {{1, 1}, 30});
+  routers.Run(2000);
+  CHECK(routers.Budget().billed == 30);
+  int stopped = 0;
+  routers.tables[0]->ReturnAll([&] { stopped += 1; });
+  routers.Run(1000);
+  CHECK(stopped == 1);
+  CHECK(Available(routers.Budget()) == 970);
+  CHECK(routers.tables[0]->Held().empty());
+  CHECK(routers.Reserve(0, 1) == ReserveStatus::kUnavailable);
+}
+
+// Guards against a bill above what was reserved, which no grant covers.
+TEST_CASE("a bill is at most the reservation") {
+  Routers routers(1);
+  REQUIRE(routers.Reserve(0, 100) == ReserveStatus::kReserved);
+  routers.tables[0]->Settle("b", 100, {{1, 1}, 300});
+  routers.Run(2000);
+  CHECK(routers.Budget().billed == 100);
+}
+
+// Guards against a refusal while another holder has unused tokens.
+TEST_CASE("a short router gets tokens back from another") {
+  Routers routers(2);
+  REQUIRE(routers.Reserve(0, 900) == ReserveStatus::kReserved);
+  routers.tables[0]->Settle("b", 900, {{1, 1}, 100});
+  CHECK(routers.Reserve(1, 850) == ReserveStatus::kReserved);
+  CHECK(routers.recalls == 1);
+}
+
+// Guards against refusing before other holders had time to return tokens.
+TEST_CASE("a refusal comes after the wait for recall") {
+  Routers routers(2);
+  REQUIRE(routers.Reserve(0, 900) == ReserveStatus::kReserved);
+  const Millis before = routers.ledger.loop.now();
+  CHECK(routers.Reserve(1, 200, 2000) == ReserveStatus::kInsufficient);
+  CHECK(routers.ledger.loop.now() - before >= Millis(300));
+  CHECK(routers.ledger.loop.now() - before < Millis(400));
+}
+
+// Guards against a wait where nobody has anything to return.
+TEST_CASE("a refusal is quick if there is no other holder") {
+  Routers routers(1);
+  const Millis before = routers.ledger.loop.now();
+  CHECK(routers.Reserve(0, 1001) == ReserveStatus::kInsufficient);
+  CHECK(routers.ledger.loop.now() - before < Millis(50));
+  CHECK(Available(routers.Budget()) == 1000);
+}
+
+// Guards against a top-up that needs a restart to be seen.
+TEST_CASE("a raised limit is sent with the next exchange") {
+  Routers routers(1);
+  CHECK(routers.Reserve(0, 1500) == ReserveStatus::kInsufficient);
+  routers.limits["b"] = 2000;
+  CHECK(routers.Reserve(0, 1500) == ReserveStatus::kReserved);
+}
+
+// Guards against later waiters that overtake a large one for ever.
+TEST_CASE("waiters of a budget are served in order") {
+  Routers routers(1);
+  std::vector<int> order;
+  for (const int amount : {300, 10, 200}) {
+    routers.tables[0]->Reserve("b", amount, Millis(500),
+                               [&order, amount](ReserveStatus status) {
+                                 CHECK(status == ReserveStatus::kReserved);
+                                 order.push_back(amount);
+                               });
+  }
+  routers.Run(500);
+  CHECK(order == std::vector{300, 10, 200});
+}
+
+// Guards against tokens that stay with a router that does not use them.
+TEST_CASE("an idle grant goes back") {
+  Routers routers(1);
+  REQUIRE(routers.Reserve(0, 100) == ReserveStatus::kReserved);
+  routers.tables[0]->Settle("b", 100, {{1, 1}, 1});
+  routers.Run(60000);
+  CHECK(Available(routers.Budget()) == 999);
+}
+
+// Guards against a reservation that needs a store call while tokens are left,
+// and against calling an outage an empty budget.
+TEST_CASE("a router spends its grant during an outage") {
+  Routers routers(1);
+  REQUIRE(routers.Reserve(0, 500) == ReserveStatus::kReserved);
+  routers.tables[0]->Settle("b", 500, {{1, 1}, 1});
+  routers.ledger.store.is_down = true;
+  CHECK(routers.Reserve(0, 400) == ReserveStatus::kReserved);
+  CHECK(routers.Reserve(0, 400) == ReserveStatus::kUnavailable);
+  routers.ledger.store.is_down = false;
+  routers.Run(3000);
+  CHECK(routers.Reserve(0, 400) == ReserveStatus::kReserved);
+}
+
+// Guards against callbacks into a table that is gone.
+TEST_CASE("a table may go away with an exchange in flight") {
+  Routers routers(1);
+  bool called = false;
+  routers.tables[0]->Reserve("b", 1, Millis(500),
+                             [&](ReserveStatus) { called = true; });
+  routers.Run(1);
+  routers.tables.clear();
+  routers.Run(2000);
+  CHECK_FALSE(called);
+}
+
+// Guards against a budget that the document does not have.
+TEST_CASE("an unknown budget is reported at once") {
+  Routers routers(1);
+  routers.limits.clear();
+  CHECK(routers.Reserve(0, 1) == ReserveStatus::kUnknownBudget);
+}
+
+// Guards against holders that wait for each other with part of the budget.
+TEST_CASE("one of two short routers gets the tokens of both") {
+  Routers routers(2);
+  REQUIRE(routers.Reserve(0, 500) == ReserveStatus::kReserved);
+  REQUIRE(routers.Reserve(1, 500) == ReserveStatus::kReserved);
+  std::vector<ReserveStatus> results;
+  for (int i = 0; i < 2; ++i) {
+    routers.tables[i]->Settle("b", 500,
+                              {{1, static_cast<std::uint64_t>(i)}, 1});
+    routers.tables[i]->Reserve(
+        "b", 800, Millis(1000),
+        [&](ReserveStatus status) { results.push_back(status); });
+  }
+  routers.Run(1100);
+  CHECK(results ==
+        std::vector{ReserveStatus::kReserved, ReserveStatus::kInsufficient});
+}
+
+// Guards against data races between workers and the loop's thread.
+TEST_CASE("reservations from several threads add up") {
+  LedgerFixture ledger;
+  std::mutex mutex;
+  std::vector<std::pair<Millis, Task>> inbox;
+  std::atomic<std::int64_t> now_ms{1000};
+  const auto add = [&](Millis delay, Task task) {
+    const std::lock_guard lock(mutex);
+    inbox.emplace_back(delay, std::move(task));
+  };
+  const EventLoop hooks{
+      .post = [&](Task task) { add(Millis{0}, std::move(task)); },
+      .after = add,
+      .now = [&] { return Millis(now_ms.load()); }};
+  GrantTable table({.shard_count = 1}, {"a", 1}, hooks, ledger.Writer(),
+                   [](const std::string&) { return Tokens{100000}; });
+  std::atomic<int> reserved{0};
+  std::atomic<int> working{4};
+  const auto work = [&](std::uint64_t worker) {
+    for (std::uint64_t n = 0; n < 200; ++n) {
+      table.Reserve("b", 10, Millis(60000), [&, worker, n](ReserveStatus it) {
+        reserved += it == ReserveStatus::kReserved ? 1 : 0;
+        table.Settle("b", 10, {{worker, n}, 7});
+      });
+      table.Recall("b");
+      static_cast<void>(table.Held());
+    }
+    working -= 1;
+  };
+  std::vector<std::thread> threads;
+  for (std::uint64_t i = 0; i < 4; ++i) {
+    threads.emplace_back(work, i);
+  }
+  for (int ms_left = 5000; ms_left > 0; ms_left -= working == 0 ? 1 : 0) {
+    {
+      const std::lock_guard lock(mutex);
+      for (auto& [delay, task] : std::exchange(inbox, {})) {
+        ledger.loop.Hooks().after(delay, std::move(task));
+      }
+    }
+    ledger.loop.RunFor(Millis(1));
+    now_ms = ledger.loop.now().count();
+  }
+  for (auto& it : threads) {
+    it.join();
+  }
+  CHECK(reserved == 800);
+  CHECK(ledger.Stored().budgets.at("b").billed == 800 * 7);
+}
+
+}  // namespace crocuslatch
