--- a/tests/correctness/scheduler_test.cc
+++ b/tests/correctness/scheduler_test.cc
@@ -1,5 +1,6 @@
 #include "src/scheduler.h"
 
+#include <array>
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <thread>
@@ -184,9 +185,9 @@
       scheduler.Run();
     }
   };
-  std::vector<std::thread> threads;
-  for (int i = 0; i < 4; ++i) {
-    threads.emplace_back(work);
+  std::array<std::thread, 4> threads;
+  for (auto& it : threads) {
+    it = std::thread(work);
   }
   for (auto& it : threads) {
     it.join();
