--- a/standins/engine_server.cc
+++ b/standins/engine_server.cc
@@ -134,6 +134,7 @@
     return reply.SendWhole(409, {{"X-Not-Run", "1"}}, "");
   }
   sequence->fault = faults_.Next().value_or(Fault{});
+  faulted_ += sequence->fault.kind.empty() ? 0 : 1;
   if (sequence->fault.kind == "refuse") {
     ++refused_;
     return reply.SendWhole(503, {{"X-Not-Run", "1"}}, "");
@@ -354,6 +355,7 @@
   return {{"users", users},
           {"requests", requests},
           {"refused", static_cast<qint64>(refused_)},
+          {"faulted", static_cast<qint64>(faulted_)},
           {"running", static_cast<qint64>(running_.size())},
           {"queued", static_cast<qint64>(queue_.size())},
           {"cached_prompt_bytes", static_cast<qint64>(cached_prompt_bytes_)},
--- a/standins/engine_server.h
+++ b/standins/engine_server.h
@@ -109,6 +109,8 @@
   std::vector<Millis> accepted_while_leaving_;
   Millis leaving_since_{0};
   std::int64_t refused_ = 0;
+  // Requests that got a fault.
+  std::int64_t faulted_ = 0;
   std::int64_t cached_prompt_bytes_ = 0;
   bool leaving_ = false;
   bool step_scheduled_ = false;
--- /dev/null
+++ b/tests/process/planned_stop_test.cc
@@ -0,0 +1,55 @@
+#include <signal.h>
+
+#include <catch2/catch.hpp>
+
+#include "tests/process/batch.h"
+
+namespace crocuslatch::test {
+
+namespace {
+
+// Attempts that the caller saw cut, with or without the start of an answer.
+std::size_t CountCut(const Batch& batch) {
+  std::size_t n = 0;
+  for (const auto& it : batch.items()) {
+    n += std::ranges::count(it.transcript->attempts, HttpEnd::kBroken,
+                            &Transcript::Attempt::end);
+  }
+  return n;
+}
+
+}  // namespace
+
+// Guards against a planned stop that interrupts a request (R7) or keeps
+// tokens of the budget.
+TEST_CASE("a planned stop under load cuts no request and returns its grants") {
+  Fleet fleet({.engine_arguments = {"--token-ms", "20"},
+               .service_arguments = {"--work-ms", "300"}});
+  Batch streams(fleet);
+  Batch orders(fleet);
+  streams.Start(12, {.prompt = "a stream", .max_tokens = 100});
+  orders.Start(6, {});
+  REQUIRE(RunUntil([&] { return streams.AllStreaming(); }, Millis(10000)));
+  fleet.router(0).Signal(SIGTERM);
+  for (int i = 0; i < 20; ++i) {
+    streams.Start(1, {.prompt = "a later stream", .max_tokens = 10});
+    RunFor(Millis(50));
+  }
+  REQUIRE(streams.WaitEnded());
+  REQUIRE(orders.WaitEnded());
+  streams.CheckWholeAnswers();
+  orders.CheckOrders();
+  CHECK(orders.Count(Transcript::End::kAnswered) == 6);
+  // Later requests met the stopping router.
+  CHECK(streams.items().front().transcript->attempts.size() == 1);
+  CHECK(std::ranges::any_of(streams.items(), [](const BatchItem& it) {
+    return it.transcript->attempts.size() > 1;
+  }));
+  CHECK(CountCut(streams) == 0);
+  CHECK(CountCut(orders) == 0);
+  CHECK(fleet.router(0).WaitExit(Millis(20000)) == 0);
+  CheckBilled(fleet, 1, streams.Used() + 6 * kOrderCost);
+  CheckBalance(fleet, 1);
+}
+
+}  // namespace crocuslatch::test
