--- /dev/null
+++ b/tests/process/configuration_test.cc
@@ -0,0 +1,73 @@
+#include <catch2/catch.hpp>
+
+#include "tests/process/batch.h"
+
+namespace crocuslatch::test {
+
+namespace {
+
+// R8: an accepted version is in force everywhere within this time.
+constexpr Millis kInForceTime{7000};
+
+bool AllInForce(Fleet& fleet, std::int64_t version) {
+  for (std::size_t i = 0; i < fleet.router_count(); ++i) {
+    if (fleet.VersionInForce(i) != version) {
+      return false;
+    }
+  }
+  return true;
+}
+
+}  // namespace
+
+// Guards against two operators who both believe that their change is in force
+// (R8).
+TEST_CASE("of two racing operators one succeeds and one gets a conflict") {
+  Fleet fleet({.engines = 1});
+  for (std::int64_t version = 1; version <= 5; ++version) {
+    const auto first = std::make_shared<std::optional<int>>();
+    const auto second = std::make_shared<std::optional<int>>();
+    fleet.StartApply(0, 2000000 * version, version, first);
+    fleet.StartApply(1, 2000000 * version + 1, version, second);
+    REQUIRE(RunUntil([&] { return *first && *second; }, Millis(20000)));
+    CHECK(std::min(**first, **second) == 200);
+    CHECK(std::max(**first, **second) == 409);
+    CHECK(
+        RunUntil([&] { return AllInForce(fleet, version + 1); }, kInForceTime));
+    const Tokens winner =
+        **first == 200 ? 2000000 * version : 2000000 * version + 1;
+    CHECK(ReadAccount(fleet, 2).prepaid == winner);
+  }
+}
+
+// Guards against a document that is accepted and lost, or accepted twice, when
+// the store's answers are lost after the write took effect (R8).
+TEST_CASE("a document is applied once when the store loses answers") {
+  Fleet fleet({.engines = 1});
+  fleet.Control(fleet.store(), {{"lose_answers", 2}, {"prefix", "config/"}});
+  const auto status = std::make_shared<std::optional<int>>();
+  fleet.StartApply(0, 3000000, 1, status);
+  REQUIRE(RunUntil([&] { return status->has_value(); }, Millis(20000)));
+  CHECK(**status == 200);
+  CHECK(RunUntil([&] { return AllInForce(fleet, 2); }, kInForceTime));
+  RunFor(Millis(3000));
+  CHECK(AllInForce(fleet, 2));
+}
+
+// Guards against a host that joins without a configuration, or with an old
+// one, while the store is down (R8).
+TEST_CASE("a router that starts in a store outage gets the version in force") {
+  Fleet fleet({.engines = 1});
+  const auto status = std::make_shared<std::optional<int>>();
+  fleet.StartApply(0, 3000000, 1, status);
+  REQUIRE(RunUntil([&] { return status->has_value(); }, Millis(20000)));
+  REQUIRE(RunUntil([&] { return AllInForce(fleet, 2); }, kInForceTime));
+  const auto outage = GENERATE("refuse", "hang");
+  INFO(outage);
+  fleet.Control(fleet.store(), {{"outage", outage}});
+  fleet.RestartRouter(2);
+  CHECK(RunUntil([&] { return fleet.IsReady(2); }, kInForceTime));
+  CHECK(fleet.VersionInForce(2) == 2);
+}
+
+}  // namespace crocuslatch::test
--- a/tests/process/fleet.cc
+++ b/tests/process/fleet.cc
@@ -30,10 +30,10 @@
 
 Fleet::Fleet(const FleetOptions& options) : options_(options) {
   dir_.setAutoRemove(!qEnvironmentVariableIsSet("CROCUSLATCH_KEEP_LOGS"));
-  StartStandins();
   for (std::size_t i = 0; i < options_.routers; ++i) {
     ports_.push_back({FreePort(), FreePort(), FreePort()});
   }
+  StartStandins();
   PublishHosts();
   for (std::size_t i = 0; i < options_.routers; ++i) {
     routers_.emplace_back();
@@ -60,9 +60,9 @@
   return process;
 }
 
-std::unique_ptr<Process> Fleet::MakeRelay(const Process& target) {
+std::unique_ptr<Process> Fleet::MakeRelay(std::uint16_t target) {
   return MakeStandin("standin_relay",
-                     {"--target", fmt::format("127.0.0.1:{}", target.port())});
+                     {"--target", fmt::format("127.0.0.1:{}", target)});
 }
 
 void Fleet::StartStandins() {
@@ -71,15 +71,18 @@
   for (std::size_t i = 0; i < options_.engines; ++i) {
     engines_.push_back(
         MakeStandin("standin_engine", options_.engine_arguments));
-    engine_relays_.push_back(options_.relays ? MakeRelay(*engines_.back())
-                                             : nullptr);
+    engine_relays_.push_back(
+        options_.relays ? MakeRelay(engines_.back()->port()) : nullptr);
   }
   for (std::size_t i = 0; i < options_.services; ++i) {
     services_.push_back(
         MakeStandin("standin_service", options_.service_arguments));
   }
   for (std::size_t i = 0; i < options_.routers; ++i) {
-    store_relays_.push_back(options_.relays ? MakeRelay(*store_) : nullptr);
+    store_relays_.push_back(options_.relays ? MakeRelay(store_->port())
+                                            : nullptr);
+    peer_relays_.push_back(options_.peer_relays ? MakeRelay(ports_[i].peer)
+                                                : nullptr);
   }
 }
 
@@ -123,7 +126,8 @@
                     {"state", "live"}});
   };
   for (std::size_t i = 0; i < ports_.size(); ++i) {
-    add("router", "router", i, ports_[i].peer);
+    const auto& relay = peer_relays_[i];
+    add("router", "router", i, relay ? relay->port() : ports_[i].peer);
   }
   for (std::size_t i = 0; i < engines_.size(); ++i) {
     const auto& relay = engine_relays_[i];
@@ -135,7 +139,7 @@
   Control(*hosts_, {{"hosts", hosts}});
 }
 
-std::string Fleet::Document() const {
+std::string Fleet::Document(Tokens prepaid) const {
   std::string text =
       "[fleet]\nname = \"test\"\nledger_shards = 4\n"
       "[[rank]]\nname = \"urgent\"\nshare = 0.4\n"
@@ -151,7 +155,7 @@
         "[[budget]]\nname = \"{0}-main\"\nclient_account = \"{0}\"\n"
         "prepaid = {1}\n[[api_key]]\nsha256 = \"{2}\"\n"
         "client_account = \"{0}\"\nbudget = \"{0}-main\"\n",
-        it, options_.prepaid, Sha256(ApiKey(it)));
+        it, prepaid, Sha256(ApiKey(it)));
   }
   const auto add = [&](const char* name, std::size_t i, std::uint16_t port,
                        const char* target) {
@@ -180,7 +184,7 @@
          .headers = {{"Authorization", fmt::format("Bearer {}", kAdminToken)},
                      {"If-Version", "0"},
                      {"Content-Type", "application/toml"}},
-         .body = Document()});
+         .body = Document(options_.prepaid)});
     return answer.status == 200;
   };
   if (!RunUntil(put, kStartTimeout)) {
@@ -224,6 +228,34 @@
           .body);
 }
 
+void Fleet::SetPartition(std::size_t i, bool is_cut) {
+  const QJsonObject change{{"drop_new", is_cut}, {"cut", is_cut}};
+  Control(*store_relays_.at(i), change);
+  for (const auto& it : peer_relays_) {
+    Control(*it, change);
+  }
+}
+
+void Fleet::StartApply(std::size_t router,
+                       Tokens prepaid,
+                       std::uint64_t base_version,
+                       std::shared_ptr<std::optional<int>> status) {
+  client_.SendWhole(
+      {.method = "PUT",
+       .url = Url(ports_[router].admin, "/admin/v1/document"),
+       .headers = {{"Authorization", fmt::format("Bearer {}", kAdminToken)},
+                   {"If-Version", std::to_string(base_version)},
+                   {"Content-Type", "application/toml"}},
+       .body = Document(prepaid),
+       .first_byte_timeout = Millis(20000)},
+      [status = std::move(status)](HttpEnd, int code, const auto&,
+                                   const auto&) { *status = code; });
+}
+
+std::int64_t Fleet::VersionInForce(std::size_t router) {
+  return Admin(router, "/admin/v1/status")["document_version"].toInteger(-1);
+}
+
 void Fleet::SetHostState(const std::string& name, const std::string& state) {
   Control(*hosts_,
           {{"set", QJsonObject{{"name", QString::fromStdString(name)},
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -4,6 +4,7 @@
 #include <QJsonObject>
 #include <QTemporaryDir>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -24,6 +25,8 @@
   Tokens prepaid = 1000000;
   // Puts a relay in front of each engine and of each router's store.
   bool relays = false;
+  // Puts a relay in front of each router's peer listener.
+  bool peer_relays = false;
   std::vector<std::string> engine_arguments;
   std::vector<std::string> service_arguments;
 };
@@ -65,6 +68,19 @@
   const Process& store_relay(std::size_t i) const {
     return *store_relays_.at(i);
   }
+  // Carries all connections that other routers open to router `i`.
+  const Process& peer_relay(std::size_t i) const { return *peer_relays_.at(i); }
+  // Cuts router `i` off from the store and from its peers, and back. Needs
+  // both kinds of relays; with more than two routers, the others lose each
+  // other's relays as well.
+  void SetPartition(std::size_t i, bool is_cut);
+  // Starts to submit the document with another prepaid amount, based on
+  // `base_version`; `status` gets the HTTP status, 0 without an answer.
+  void StartApply(std::size_t router,
+                  Tokens prepaid,
+                  std::uint64_t base_version,
+                  std::shared_ptr<std::optional<int>> status);
+  std::int64_t VersionInForce(std::size_t router);
   // Marks an entry of the host list: "engine-<i>", "service-<i>", "router-<i>".
   void SetHostState(const std::string& name, const std::string& state);
 
@@ -92,12 +108,12 @@
   std::unique_ptr<Process> MakeStandin(
       const std::string& name,
       const std::vector<std::string>& arguments);
-  std::unique_ptr<Process> MakeRelay(const Process& target);
+  std::unique_ptr<Process> MakeRelay(std::uint16_t target);
   void StartStandins();
   void StartRouter(std::size_t i);
   void PublishHosts();
   void PutDocument();
-  std::string Document() const;
+  std::string Document(Tokens prepaid) const;
 
   FleetOptions options_;
   QTemporaryDir dir_;
@@ -109,6 +125,7 @@
   std::vector<std::unique_ptr<Process>> services_;
   std::vector<std::unique_ptr<Process>> engine_relays_;
   std::vector<std::unique_ptr<Process>> store_relays_;
+  std::vector<std::unique_ptr<Process>> peer_relays_;
   std::vector<std::unique_ptr<Process>> routers_;
   // Destroyed before the processes.
   HttpClient client_;
