Use the shared virtual loop in the configuration tests

The simulated store stays, since it cuts off or crashes the writer at the moment of its write, which FakeStore does not.

--- a/tests/fuzz/config_keeper_fuzz_test.cc
+++ b/tests/fuzz/config_keeper_fuzz_test.cc
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "tests/fuzz/fuzz_seed.h"
 #include "tests/simulated_config_fleet.h"
 
 namespace crocuslatch {
--- a/tests/simulated_config_fleet.h
+++ b/tests/simulated_config_fleet.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "src/config_keeper.h"
+#include "tests/fake_loop.h"
 #include "tests/fixture_document.h"
 
 // Defines configuration keepers with heartbeats over an in-memory store that
@@ -20,34 +21,8 @@
 
 namespace crocuslatch {
 
-class VirtualLoop {
- public:
-  Millis now() const { return now_; }
-  void After(Millis delay, Task task) {
-    tasks_.emplace(std::pair{now_ + delay, sequence_++}, std::move(task));
-  }
-  void RunFor(Millis duration) {
-    const auto end = now_ + duration;
-    while (!tasks_.empty() && tasks_.begin()->first.first <= end) {
-      auto node = tasks_.extract(tasks_.begin());
-      now_ = node.key().first;
-      node.mapped()();
-    }
-    now_ = end;
-  }
-  EventLoop Hooks() {
-    return {.post = [this](Task task) { After(Millis{0}, std::move(task)); },
-            .after = [this](Millis delay,
-                            Task task) { After(delay, std::move(task)); },
-            .now = [this] { return now_; }};
-  }
-
- private:
-  Millis now_{0};
-  std::uint64_t sequence_ = 0;
-  std::map<std::pair<Millis, std::uint64_t>, Task> tasks_;
-};
-
+// Its store also crashes or cuts off the writer of a value at the moment of
+// the write, which FakeStore does not.
 class SimulatedConfigFleet {
  public:
   SimulatedConfigFleet(int size, std::uint32_t seed)
@@ -71,7 +46,7 @@
             },
             [this, i](const DocumentPointer& it) { OnInForce(i, *it); }});
     // The first reading of the head is at another time at each keeper.
-    loop.After(Random(0, 2000), [this, i, raw = node.keeper.get()] {
+    After(Random(0, 2000), [this, i, raw = node.keeper.get()] {
       if (nodes_[i].keeper.get() == raw) {
         raw->Start();
       }
@@ -140,7 +115,7 @@
     return it == values_.end() ? nullptr : &it->second.second;
   }
 
-  VirtualLoop loop;
+  FakeLoop loop;
   // Nonce of each version that config/current ever contained.
   std::map<std::uint64_t, std::string> written;
   // Results by nonce.
@@ -168,6 +143,10 @@
   Millis Random(int least, int most) { return Millis(Draw(least, most)); }
   bool Faulty() { return Draw(0, 99) < fault_percent_; }
 
+  void After(Millis delay, Task task) {
+    loop.Hooks().after(delay, std::move(task));
+  }
+
   void Violate(std::string text) { violations.push_back(std::move(text)); }
 
   void OnInForce(int i, const DocumentInForce& it) {
@@ -197,7 +176,7 @@
 
   // Every second the others hear of the version in force.
   void Beat(int i) {
-    loop.After(Millis(1000), [this, i] { Beat(i); });
+    After(Millis(1000), [this, i] { Beat(i); });
     const auto current = CurrentOf(i);
     for (int j = 0; current && j < size(); ++j) {
       if (j != i && IsUp(j) && nodes_[i].peer_link && nodes_[j].peer_link &&
@@ -213,7 +192,7 @@
     if (Faulty() || !nodes_[i].peer_link || !nodes_[j].peer_link) {
       return;
     }
-    loop.After(Random(1, 30), [this, j, callback = std::move(callback)] {
+    After(Random(1, 30), [this, j, callback = std::move(callback)] {
       if (IsUp(j)) {
         callback(nodes_[j].keeper->EncodedCurrent());
       }
@@ -229,21 +208,21 @@
     const auto fate = lost ? Draw(0, 2) : -1;
     const auto unknown = [callback] { callback(StoreResult{}); };
     if (fate < 0) {
-      loop.After(Random(1, 20), [this, i, effect, callback, unknown] {
+      After(Random(1, 20), [this, i, effect, callback, unknown] {
         const auto result = effect();
         const auto answer = [callback, result] { callback(result); };
         if (nodes_[i].store_link) {
-          loop.After(Random(1, 20), answer);
+          After(Random(1, 20), answer);
         } else {
-          loop.After(kStoreTimeout, unknown);
+          After(kStoreTimeout, unknown);
         }
       });
       return;
     }
-    loop.After(kStoreTimeout, unknown);
+    After(kStoreTimeout, unknown);
     if (fate > 0 && nodes_[i].store_link) {
       const auto delay = fate == 1 ? Random(1, 20) : Random(1000, 4000);
-      loop.After(delay, [effect] { effect(); });
+      After(delay, [effect] { effect(); });
     }
   }
 
@@ -282,7 +261,7 @@
     }
     if (const auto down = std::exchange(nodes_[i].crash_at_write, {})) {
       nodes_[i].keeper.reset();
-      loop.After(*down, [this, i] { Restart(i); });
+      After(*down, [this, i] { Restart(i); });
     }
   }
 
