Give each test program its own ports

Parallel test programs could take each other's port between FreePort and the start of the router, so that 1 of 29 tests failed in a run with 4 jobs. Ports now come from a block by process id below the system's own range. Port 0 was ruled out: the host list must name a router's port before it starts. Two runs of ctest -L process -j 4: 29 of 29 passed in each.

--- a/tests/process/process.cc
+++ b/tests/process/process.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 #include <signal.h>
 #include <sys/prctl.h>
+#include <unistd.h>
 
 #include <QElapsedTimer>
 #include <QEventLoop>
@@ -15,6 +16,9 @@
 namespace {
 
 constexpr Millis kStartTimeout{15000};
+constexpr int kFirstPort = 12000;
+constexpr int kPortsInBlock = 100;
+constexpr int kPortBlocks = 200;
 
 }  // namespace
 
@@ -37,8 +41,13 @@
 }
 
 std::uint16_t FreePort() {
+  // Each test program has its own ports, below those that the system gives to
+  // connections and to listeners that ask for any port.
+  static int next = kFirstPort + (::getpid() % kPortBlocks) * kPortsInBlock;
   QTcpServer server;
-  server.listen(QHostAddress::LocalHost);
+  while (
+      !server.listen(QHostAddress::LocalHost, static_cast<quint16>(++next))) {
+  }
   return server.serverPort();
 }
 
--- a/tests/process/process.h
+++ b/tests/process/process.h
@@ -19,7 +19,7 @@
 bool RunUntil(const std::function<bool()>& done, Millis timeout);
 void RunFor(Millis time);
 
-// A port that was free a moment ago.
+// A port that no other test program uses; each call returns another one.
 std::uint16_t FreePort();
 
 // A process of the build directory. It is killed with its owner, and also if
