--- a/src/membership.cc
+++ b/src/membership.cc
@@ -11,9 +11,8 @@
 // Holders remembered without a sign of life; the oldest are dropped.
 constexpr std::size_t kMaxRememberedHolders = 10000;
 
-// Heartbeats that tell a new incarnation before it takes its turn among the
-// others.
-constexpr std::uint64_t kFirstTellings = 8;
+// An incarnation is news for this many heartbeats, about one to each peer.
+constexpr int kNewsHeartbeats = 8;
 
 // Time after which the last incarnation of an unlisted host is forgotten.
 constexpr Millis kForgetTime{std::chrono::hours(1)};
@@ -34,7 +33,7 @@
 
 struct KnownIncarnation {
   Incarnation incarnation;
-  std::uint64_t times_told = 0;
+  int times_told = 0;
 };
 
 // Appends hosts of the domains in turn, the best of each domain first.
@@ -70,6 +69,8 @@
   std::map<std::string, Millis> unreachable_until;
   // When a holder that nobody has heard of was first asked about.
   std::map<HolderId, Millis> first_asked;
+  // Host of the incarnation last told in turn.
+  std::string last_told;
 
   const std::string& own_host() const { return options.own.holder.host; }
 
@@ -99,23 +100,12 @@
     superseded.insert(holder);
   }
 
-  std::uint64_t FirstTimesTold() const {
-    if (present.empty()) {
-      return 0;
-    }
-    const auto least =
-        std::ranges::min_element(present, {}, [](const auto& it) {
-          return it.second.times_told;
-        })->second.times_told;
-    return least - std::min(least, kFirstTellings);
-  }
-
   void Note(const Incarnation& incarnation) {
     const auto& holder = incarnation.holder;
     first_asked.erase(holder);
     const auto it = present.find(holder.host);
     if (it == present.end()) {
-      present[holder.host] = {incarnation, FirstTimesTold()};
+      present[holder.host] = {incarnation};
       return;
     }
     const auto known = it->second.incarnation;
@@ -125,7 +115,7 @@
     if (IsLater(incarnation, known)) {
       Supersede(known.holder);
       superseded.erase(holder);
-      present[holder.host] = {incarnation, FirstTimesTold()};
+      present[holder.host] = {incarnation};
     } else {
       Supersede(holder);
     }
@@ -215,8 +205,9 @@
   // Unreachable hosts come last: the list names a lost rack for a while.
   std::vector<std::string> HeartbeatPeers() const {
     auto result = HeartbeatOrder();
-    std::ranges::stable_partition(
-        result, [this](const auto& it) { return IsReachable(it); });
+    // The form in std::ranges does not compile with clang 14.
+    std::stable_partition(result.begin(), result.end(),
+                          [this](const auto& it) { return IsReachable(it); });
     result.resize(std::min(result.size(), options.heartbeat_peers));
     return result;
   }
@@ -239,15 +230,36 @@
     return result;
   }
 
-  std::vector<KnownIncarnation*> Tellable() {
+  bool MayTell(const std::string& host) const {
+    return host != own_host() && (!has_list || routers.contains(host));
+  }
+
+  std::vector<KnownIncarnation*> News() {
     std::vector<KnownIncarnation*> result;
     for (auto& [host, known] : present) {
-      if (host != own_host() && (!has_list || routers.contains(host))) {
+      if (MayTell(host) && known.times_told < kNewsHeartbeats) {
         result.push_back(&known);
       }
     }
+    std::ranges::stable_sort(result, {}, &KnownIncarnation::times_told);
     return result;
   }
+
+  // The incarnation after the one told last; null if there is none to tell.
+  KnownIncarnation* NextInTurn() {
+    auto it = present.upper_bound(last_told);
+    for (std::size_t n = 0; n < present.size(); ++n) {
+      if (it == present.end()) {
+        it = present.begin();
+      }
+      if (MayTell(it->first)) {
+        last_told = it->first;
+        return &it->second;
+      }
+      ++it;
+    }
+    return nullptr;
+  }
 };
 
 Membership::Membership(MembershipOptions options, std::function<Millis()> now)
@@ -352,12 +364,17 @@
 
 std::vector<Incarnation> Membership::TakeNews(std::size_t max) {
   const std::lock_guard lock(core_->mutex);
-  auto known = core_->Tellable();
-  std::ranges::stable_sort(known, {}, &KnownIncarnation::times_told);
-  known.resize(std::min(known.size(), max));
+  auto told = core_->News();
+  if (told.empty()) {
+    // Repairs what was missed, at the cost of one entry.
+    if (auto* next = core_->NextInTurn()) {
+      told.push_back(next);
+    }
+  }
+  told.resize(std::min(told.size(), max));
   std::vector<Incarnation> result;
-  for (auto* it : known) {
-    ++it->times_told;
+  for (auto* it : told) {
+    it->times_told = std::min(it->times_told + 1, kNewsHeartbeats);
     result.push_back(it->incarnation);
   }
   return result;
--- a/src/membership.h
+++ b/src/membership.h
@@ -71,8 +71,8 @@
   std::vector<std::string> HeartbeatPeers() const;
   // Address of a router's peer listener; empty if unknown.
   std::string AddressOf(const std::string& host) const;
-  // At most `max` incarnations for one heartbeat; those told least often
-  // come first, so that news spreads at once.
+  // At most `max` incarnations for one heartbeat: news, or one of the others
+  // in turn.
   std::vector<Incarnation> TakeNews(std::size_t max);
   // The present incarnations that this router knows.
   std::vector<Incarnation> Known() const;
--- a/src/peer_generated.h
+++ b/src/peer_generated.h
@@ -376,30 +376,24 @@
 struct Heartbeat FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef HeartbeatBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_SENDER = 4,
-    VT_CONFIG_VERSION = 6,
-    VT_CONFIG_SHA256 = 8,
-    VT_HEARD_OF = 10
+    VT_CONFIG_VERSION = 4,
+    VT_CONFIG_SHA256 = 6,
+    VT_HEARD_OF = 8
   };
-  const crocuslatch::wire::Incarnation *sender() const {
-    return GetPointer<const crocuslatch::wire::Incarnation *>(VT_SENDER);
-  }
   uint64_t config_version() const {
     return GetField<uint64_t>(VT_CONFIG_VERSION, 0);
   }
-  const flatbuffers::String *config_sha256() const {
-    return GetPointer<const flatbuffers::String *>(VT_CONFIG_SHA256);
+  const flatbuffers::Vector<uint8_t> *config_sha256() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_CONFIG_SHA256);
   }
   const flatbuffers::Vector<flatbuffers::Offset<crocuslatch::wire::Incarnation>> *heard_of() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crocuslatch::wire::Incarnation>> *>(VT_HEARD_OF);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyOffsetRequired(verifier, VT_SENDER) &&
-           verifier.VerifyTable(sender()) &&
            VerifyField<uint64_t>(verifier, VT_CONFIG_VERSION, 8) &&
            VerifyOffset(verifier, VT_CONFIG_SHA256) &&
-           verifier.VerifyString(config_sha256()) &&
+           verifier.VerifyVector(config_sha256()) &&
            VerifyOffset(verifier, VT_HEARD_OF) &&
            verifier.VerifyVector(heard_of()) &&
            verifier.VerifyVectorOfTables(heard_of()) &&
@@ -411,13 +405,10 @@
   typedef Heartbeat Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_sender(flatbuffers::Offset<crocuslatch::wire::Incarnation> sender) {
-    fbb_.AddOffset(Heartbeat::VT_SENDER, sender);
-  }
   void add_config_version(uint64_t config_version) {
     fbb_.AddElement<uint64_t>(Heartbeat::VT_CONFIG_VERSION, config_version, 0);
   }
-  void add_config_sha256(flatbuffers::Offset<flatbuffers::String> config_sha256) {
+  void add_config_sha256(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> config_sha256) {
     fbb_.AddOffset(Heartbeat::VT_CONFIG_SHA256, config_sha256);
   }
   void add_heard_of(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocuslatch::wire::Incarnation>>> heard_of) {
@@ -430,36 +421,31 @@
   flatbuffers::Offset<Heartbeat> Finish() {
     const auto end = fbb_.EndTable(start_);
     auto o = flatbuffers::Offset<Heartbeat>(end);
-    fbb_.Required(o, Heartbeat::VT_SENDER);
     return o;
   }
 };
 
 inline flatbuffers::Offset<Heartbeat> CreateHeartbeat(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<crocuslatch::wire::Incarnation> sender = 0,
     uint64_t config_version = 0,
-    flatbuffers::Offset<flatbuffers::String> config_sha256 = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> config_sha256 = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocuslatch::wire::Incarnation>>> heard_of = 0) {
   HeartbeatBuilder builder_(_fbb);
   builder_.add_config_version(config_version);
   builder_.add_heard_of(heard_of);
   builder_.add_config_sha256(config_sha256);
-  builder_.add_sender(sender);
   return builder_.Finish();
 }
 
 inline flatbuffers::Offset<Heartbeat> CreateHeartbeatDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<crocuslatch::wire::Incarnation> sender = 0,
     uint64_t config_version = 0,
-    const char *config_sha256 = nullptr,
+    const std::vector<uint8_t> *config_sha256 = nullptr,
     const std::vector<flatbuffers::Offset<crocuslatch::wire::Incarnation>> *heard_of = nullptr) {
-  auto config_sha256__ = config_sha256 ? _fbb.CreateString(config_sha256) : 0;
+  auto config_sha256__ = config_sha256 ? _fbb.CreateVector<uint8_t>(*config_sha256) : 0;
   auto heard_of__ = heard_of ? _fbb.CreateVector<flatbuffers::Offset<crocuslatch::wire::Incarnation>>(*heard_of) : 0;
   return crocuslatch::wire::CreateHeartbeat(
       _fbb,
-      sender,
       config_version,
       config_sha256__,
       heard_of__);
--- a/src/peer_network.cc
+++ b/src/peer_network.cc
@@ -33,25 +33,31 @@
 
 PackBody PackHeartbeat(const PeerHeartbeat& heartbeat) {
   return [heartbeat](flatbuffers::FlatBufferBuilder& builder) -> PackedBody {
-    const auto sender = PackIncarnation(builder, heartbeat.sender);
-    const auto sha256 = builder.CreateString(heartbeat.config_sha256);
+    const auto sha256 =
+        QByteArray::fromHex(QByteArray::fromStdString(heartbeat.config_sha256));
+    const auto sha256_vector = builder.CreateVector(
+        reinterpret_cast<const std::uint8_t*>(sha256.data()),
+        static_cast<std::size_t>(sha256.size()));
     std::vector<flatbuffers::Offset<wire::Incarnation>> heard_of;
     for (const auto& it : heartbeat.heard_of) {
       heard_of.push_back(PackIncarnation(builder, it));
     }
     const auto heard_vector = builder.CreateVector(heard_of);
     return {wire::Body::Heartbeat,
-            wire::CreateHeartbeat(builder, sender, heartbeat.config_version,
-                                  sha256, heard_vector)
+            wire::CreateHeartbeat(builder, heartbeat.config_version,
+                                  sha256_vector, heard_vector)
                 .Union()};
   };
 }
 
 PeerHeartbeat UnpackHeartbeat(const wire::Heartbeat& table) {
-  PeerHeartbeat result{.sender = UnpackIncarnation(*table.sender()),
-                       .config_version = table.config_version()};
-  if (table.config_sha256() != nullptr) {
-    result.config_sha256 = table.config_sha256()->str();
+  PeerHeartbeat result{.config_version = table.config_version()};
+  if (const auto* sha256 = table.config_sha256()) {
+    result.config_sha256 =
+        QByteArray(reinterpret_cast<const char*>(sha256->data()),
+                   static_cast<qsizetype>(sha256->size()))
+            .toHex()
+            .toStdString();
   }
   if (table.heard_of() != nullptr) {
     for (const auto* it : *table.heard_of()) {
--- a/src/peer_network.h
+++ b/src/peer_network.h
@@ -17,8 +17,10 @@
 namespace crocuslatch {
 
 struct PeerHeartbeat {
+  // Set by the receiver to the authenticated peer.
   Incarnation sender;
   std::uint64_t config_version = 0;
+  // Lower-case hex.
   std::string config_sha256;
   // Incarnations that the sender has heard of; only some in each heartbeat.
   std::vector<Incarnation> heard_of;
--- a/tests/correctness/membership_test.cc
+++ b/tests/correctness/membership_test.cc
@@ -201,16 +201,24 @@
     fixture.table.OnHeard({{fmt::format("r{}", n), 1}, 1});
   }
   std::set<std::string> told;
-  for (int n = 0; n < 25; ++n) {
-    const auto news = fixture.table.TakeNews(4);
-    CHECK(news.size() == 4);
-    for (const auto& it : news) {
-      told.insert(it.holder.host);
+  const auto take = [&](int heartbeats, std::size_t size) {
+    told.clear();
+    for (int n = 0; n < heartbeats; ++n) {
+      const auto news = fixture.table.TakeNews(4);
+      CHECK(news.size() == size);
+      for (const auto& it : news) {
+        told.insert(it.holder.host);
+      }
     }
-  }
+  };
+  take(24, 4);
+  CHECK(told.size() == 96);
+  take(8 * 98 / 4 - 24, 4);
+  take(98, 1);
   CHECK(told.size() == 98);
   fixture.table.OnHeard({{"r99", 1}, 1});
-  CHECK(fixture.table.TakeNews(4)[0].holder.host == "r99");
+  take(8, 1);
+  CHECK(told == std::set<std::string>{"r99"});
 }
 
 }  // namespace crocuslatch
--- a/tests/error/peer_network_test.cc
+++ b/tests/error/peer_network_test.cc
@@ -55,7 +55,7 @@
             [this] {
               return PeerHeartbeat{.sender = {{host, 1}, 100},
                                    .config_version = 9,
-                                   .config_sha256 = "abc",
+                                   .config_sha256 = "0badcafe",
                                    .heard_of = {{{"z", 3}, 4}}};
             },
         .on_heartbeat = [this](const auto& it) { heartbeats.push_back(it); },
@@ -172,7 +172,7 @@
   }));
   CHECK(it.a.heartbeats[0].sender.holder.host == "b");
   CHECK(it.b.heartbeats[0] ==
-        PeerHeartbeat{{{"a", 1}, 100}, 9, "abc", {{{"z", 3}, 4}}});
+        PeerHeartbeat{{{"a", 1}, 100}, 9, "0badcafe", {{{"z", 3}, 4}}});
   it.b.network.reset();
   REQUIRE(RunUntil([&] { return !it.a.unreachable.empty(); }));
   const Router next("b", &it.addresses);
