Refuse misaligned vectors in stored ledger data

Cause: UndefinedBehaviorSanitizer reported a misaligned load for a damaged shard value; the verifier of FlatBuffers 2.0.8 does not check it. AddressSanitizer reported that the fuzz test's own check read a record that may not exist, since rapidcheck's assertion evaluates both sides of ||. Change: the codec checks the alignment itself; the test reads the record first. Ruled out: copying each vector.

--- a/src/shard_codec.cc
+++ b/src/shard_codec.cc
@@ -35,6 +35,15 @@
   return amount;
 }
 
+// The verifier of FlatBuffers 2.0.8 does not check the alignment of vectors
+// whose elements are larger than their length.
+template <typename Vector>
+void RequireAligned(const Vector& vector) {
+  const auto address = reinterpret_cast<std::uintptr_t>(vector.Data());
+  const bool is_aligned = address % sizeof(std::uint64_t) == 0;
+  Require(vector.size() == 0 || is_aligned, "misaligned vector");
+}
+
 wire::Key Pack(const RequestKey& key) {
   return {key.high, key.low};
 }
@@ -88,6 +97,7 @@
   record.body = table.body()->str();
   record.changed_ms = table.changed_ms();
   if (table.abandoned_attempts()) {
+    RequireAligned(*table.abandoned_attempts());
     record.abandoned_attempts.assign(table.abandoned_attempts()->begin(),
                                      table.abandoned_attempts()->end());
   }
@@ -169,6 +179,7 @@
   command.holder = Unpack(*table.holder());
   command.sequence = table.sequence();
   if (table.bills()) {
+    RequireAligned(*table.bills());
     command.bills.reserve(table.bills()->size());
     for (const auto* it : *table.bills()) {
       command.bills.push_back({Unpack(it->key()), CheckAmount(it->amount())});
@@ -300,6 +311,7 @@
   if (!structs) {
     return bills;
   }
+  RequireAligned(*structs);
   bills.reserve(structs->size());
   for (const auto* it : *structs) {
     const BillRecord record{CheckAmount(it->amount()), it->billed_ms()};
--- a/tests/correctness/shard_writer_test.cc
+++ b/tests/correctness/shard_writer_test.cc
@@ -87,10 +87,10 @@
   const auto first = ledger.Writer();
   const auto second = ledger.Writer();
   REQUIRE(ledger.Apply(first, {SetLimitCommand{"b", 0}}));
-  CHECK(ledger.Apply(first, {ClaimOf(1, 1)})->front().status ==
+  CHECK(ledger.Apply(first, {ClaimOf(1, 1)}).value().front().status ==
         ReplyStatus::kInsufficient);
   REQUIRE(ledger.Apply(second, {SetLimitCommand{"b", 5}}));
-  CHECK(ledger.Apply(first, {ClaimOf(1, 2)})->front().status ==
+  CHECK(ledger.Apply(first, {ClaimOf(1, 2)}).value().front().status ==
         ReplyStatus::kOk);
 }
 
--- a/tests/fuzz/ledger_fuzz_test.cc
+++ b/tests/fuzz/ledger_fuzz_test.cc
@@ -408,7 +408,9 @@
     RC_ASSERT(budget.billed <= account.Used() - account.reserved);
     for (const auto& it : hosts_) {
       const auto grant = budget.grants.find(it.holder);
-      RC_ASSERT(grant == budget.grants.end() || grant->second.outstanding == 0);
+      const Tokens outstanding =
+          grant == budget.grants.end() ? 0 : grant->second.outstanding;
+      RC_ASSERT(outstanding == 0);
     }
   }
 
