--- a/src/load_report.h
+++ b/src/load_report.h
@@ -98,9 +98,10 @@
   double entitled = 0;
   // received / entitled.
   double share = 0;
+  LoadQuantiles first_token;
 };
 
-struct LoadReport {
+struct LoadRunReport {
   std::uint64_t seed = 0;
   std::size_t requests = 0;
   std::size_t orders = 0;
@@ -139,16 +140,16 @@
 // 1 if all shares are equal, 1/n if one has everything; 1 for no shares.
 double JainIndex(const std::vector<double>& shares);
 
-LoadReport Summarize(const LoadPlan& plan,
-                     const std::vector<LoadTranscript>& transcripts,
-                     const LoadCounts& counts,
-                     std::uint64_t seed);
+LoadRunReport Summarize(const LoadPlan& plan,
+                        const std::vector<LoadTranscript>& transcripts,
+                        const LoadCounts& counts,
+                        std::uint64_t seed);
 
 // False if one of the counts that must be 0 is not.
-bool IsSound(const LoadReport& report);
+bool IsSound(const LoadRunReport& report);
 
-std::string FormatTable(const LoadReport& report);
-std::string ToJson(const LoadReport& report);
+std::string FormatTable(const LoadRunReport& report);
+std::string ToJson(const LoadRunReport& report);
 
 }  // namespace crocuslatch
 
--- a/src/tool_commands.cc
+++ b/src/tool_commands.cc
@@ -10,6 +10,8 @@
 
 #include "src/document.h"
 #include "src/document_edit.h"
+#include "src/load_plan.h"
+#include "src/load_report.h"
 #include "src/stored_document.h"
 
 namespace crocuslatch {
@@ -385,6 +387,24 @@
   return PrintJson(ports, "/admin/v1/histograms");
 }
 
+int Load(const ToolOptions& options, const ToolPorts& ports) {
+  if (options.plan.empty()) {
+    throw UsageError("load needs --plan");
+  }
+  const auto plan = ParseLoadPlan(ReadFile(ports, options.plan));
+  const auto run = ports.run_load(plan, options.seed);
+  const auto report =
+      Summarize(plan, run.transcripts, run.counts, options.seed);
+  ports.print(FormatTable(report));
+  if (!options.json.empty() &&
+      !ports.write_file(options.json, ToJson(report))) {
+    throw ToolError(kToolUsage,
+                    fmt::format("\"{}\" cannot be written", options.json),
+                    "correct the path of --json");
+  }
+  return IsSound(report) ? kToolDone : kToolRefused;
+}
+
 struct Command {
   std::vector<std::string> words;
   std::size_t least_arguments;
@@ -464,6 +484,13 @@
        "histograms",
        "print the histograms of the router",
        Histograms},
+      {{"load"},
+       0,
+       0,
+       "load --plan FILE [--json FILE] [--seed N]",
+       "send the plan's requests to routers on this machine and report what "
+       "their callers saw; exit code 1 if a count that must be 0 is not",
+       Load},
   };
   return kCommands;
 }
--- a/src/tool_commands.h
+++ b/src/tool_commands.h
@@ -9,6 +9,7 @@
 
 #include "src/error.h"
 #include "src/http_client.h"
+#include "src/load_generator.h"
 #include "src/types.h"
 
 // Defines the commands of the command-line tool over ports, so that tests run
@@ -37,6 +38,10 @@
   std::string client_account;
   // True if `validate` also asks the router.
   bool ask_router = false;
+  // load: files of the plan and of the report, and the schedule's seed.
+  std::string plan;
+  std::string json;
+  std::uint64_t seed = 1;
 };
 
 struct ToolReply {
@@ -59,6 +64,9 @@
   std::function<std::optional<std::string>(const std::string& path)> read_file;
   std::function<void(std::string_view)> print;
   std::function<void(std::string_view)> print_error;
+  // False if the file cannot be written.
+  std::function<bool(const std::string& path, std::string_view)> write_file;
+  std::function<LoadRun(const LoadPlan&, std::uint64_t seed)> run_load;
 };
 
 // Runs one command and returns the exit code.
--- a/src/tool_main.cc
+++ b/src/tool_main.cc
@@ -9,6 +9,7 @@
 
 #include "src/ip_endpoint.h"
 #include "src/tool_commands.h"
+#include "standins/engine_tokens.h"
 
 namespace {
 
@@ -46,7 +47,11 @@
       "account", options::value<std::string>(),
       "budget create: client account")("prepaid",
                                        options::value<crocuslatch::Tokens>(),
-                                       "budget create: prepaid amount");
+                                       "budget create: prepaid amount")(
+      "plan", options::value<std::string>(), "load: plan of the run")(
+      "json", options::value<std::string>(), "load: file for the report")(
+      "seed", options::value<std::uint64_t>(),
+      "load: equal seeds send the same requests (default 1)");
   return description;
 }
 
@@ -82,6 +87,9 @@
   it.prepaid = Find<crocuslatch::Tokens>(values, "prepaid");
   it.client_account = Find<std::string>(values, "account").value_or("");
   it.ask_router = values.count("admin") > 0;
+  it.plan = Find<std::string>(values, "plan").value_or("");
+  it.json = Find<std::string>(values, "json").value_or("");
+  it.seed = Find<std::uint64_t>(values, "seed").value_or(it.seed);
   return it;
 }
 
@@ -124,6 +132,17 @@
   return std::move(text).str();
 }
 
+bool WriteFile(const std::string& path, std::string_view text) {
+  std::ofstream file(path, std::ios::binary);
+  return static_cast<bool>(file << text << std::flush);
+}
+
+// Only the header that defines the stand-in's answers is used here.
+crocuslatch::LoadRun RunLoad(const crocuslatch::LoadPlan& plan,
+                             std::uint64_t seed) {
+  return crocuslatch::RunLoad(plan, seed, &crocuslatch::standins::EngineAnswer);
+}
+
 ToolPorts MakePorts(HttpClient& client,
                     const std::string& admin,
                     const std::string& token) {
@@ -141,6 +160,8 @@
       .read_file = &ReadFile,
       .print = [](std::string_view text) { std::cout << text << std::flush; },
       .print_error = [](std::string_view text) { std::cerr << text; },
+      .write_file = &WriteFile,
+      .run_load = &RunLoad,
   };
 }
 
