--- a/tests/fuzz/config_keeper_fuzz_test.cc
+++ b/tests/fuzz/config_keeper_fuzz_test.cc
@@ -167,7 +167,10 @@
 
 void CheckConverged(const SimulatedConfigFleet& fleet) {
   for (int i = 0; i < fleet.size(); ++i) {
-    RC_ASSERT(!fleet.IsUp(i) || fleet.VersionOf(i) == fleet.StoredVersion());
+    // RC_ASSERT evaluates both sides of ||, so conditions stand before it.
+    const bool has_converged =
+        !fleet.IsUp(i) || fleet.VersionOf(i) == fleet.StoredVersion();
+    RC_ASSERT(has_converged);
   }
 }
 
@@ -176,7 +179,8 @@
     const auto* value =
         fleet.StoreValue("config/history/" + std::to_string(version));
     RC_ASSERT(value != nullptr || version == fleet.StoredVersion());
-    RC_ASSERT(!value || DecodeStoredDocument(*value)->nonce == nonce);
+    const bool is_own = !value || DecodeStoredDocument(*value)->nonce == nonce;
+    RC_ASSERT(is_own);
   }
 }
 
