Widen amounts before multiplying in the state fuzz test

Cause: clang-tidy reported two products computed in int. Change: the factors are Tokens; the generated commands stay the same.

--- a/tests/fuzz/shard_state_fuzz_test.cc
+++ b/tests/fuzz/shard_state_fuzz_test.cc
@@ -53,7 +53,7 @@
     command.returned = (grant.outstanding - billed) / step.attempt;
   }
   command.returned += step.variant == 3 ? 1000 : 0;
-  command.want = step.amount * 2;
+  command.want = Tokens{2} * step.amount;
   command.least = step.amount;
   return command;
 }
@@ -64,7 +64,7 @@
   const auto attempt = static_cast<std::uint64_t>(step.attempt);
   switch (step.kind) {
     case 0:
-      return SetLimitCommand{"b", step.amount * 20};
+      return SetLimitCommand{"b", Tokens{20} * step.amount};
     case 1:
       return ClaimCommand{key,     {3, step.variant == 0 ? 1ULL : 2ULL},
                           "b",     step.amount,
