Test messages that arrive after a silent partition

The partition test closes connections, so nothing held up in the network arrives later. The new test stops first the answers and then everything to and from one of two routers for 5 s, with orders and requests on their way, and lets the held messages pass afterwards.

--- a/tests/process/partition_test.cc
+++ b/tests/process/partition_test.cc
@@ -68,4 +68,53 @@
   CheckBalance(fleet, 1);
 }
 
+// Guards against stale writes and a second run: messages that were held up in
+// a silent partition arrive after it, when the routers have given them up
+// (R1, R4, R5).
+TEST_CASE("messages that arrive after a silent partition double nothing") {
+  constexpr Tokens kPrepaid = 4000;
+  FleetOptions options{.routers = 2, .prepaid = kPrepaid};
+  options.relays = true;
+  options.peer_relays = true;
+  Fleet fleet(options);
+  Batch requests(fleet);
+  Batch orders(fleet);
+  const Call request{.prompt = "a request", .max_tokens = 40};
+  requests.Start(8, request);
+  orders.Start(4, {});
+  REQUIRE(requests.WaitEnded());
+  REQUIRE(orders.WaitEnded());
+  const auto forward = [&](const char* directions) {
+    const QJsonObject change{{"forward", directions}};
+    fleet.Control(fleet.store_relay(0), change);
+    fleet.Control(fleet.peer_relay(0), change);
+    fleet.Control(fleet.peer_relay(1), change);
+  };
+  // Router 0 writes to the store and gets no answer; then nothing passes.
+  forward("to_target");
+  orders.Start(4, {});
+  requests.Start(20, request);
+  RunFor(Millis(500));
+  forward("none");
+  orders.Start(4, {});
+  requests.Start(20, request);
+  RunFor(Millis(5000));
+  forward("both");
+  orders.Start(4, {});
+  requests.Start(20, request);
+  REQUIRE(requests.WaitEnded());
+  REQUIRE(orders.WaitEnded());
+  orders.CheckOrders();
+  std::int64_t runs = 0;
+  for (const auto& it : orders.items()) {
+    runs += fleet.OrderRuns(it.call.key);
+  }
+  CHECK(runs > 4);
+  const auto engine_tokens = fleet.EngineCount("small", "generated_tokens") +
+                             fleet.EngineCount("small", "prompt_tokens");
+  CHECK(engine_tokens + runs * kOrderCost <= kPrepaid);
+  CheckBilled(fleet, 1, requests.Used() + runs * kOrderCost);
+  CheckBalance(fleet, 1);
+}
+
 }  // namespace crocuslatch::test
