Stop the demonstration's routers before the platform

The routers of demo/experiment took about a minute to stop, because the store was ended at the same time and a planned stop waits for it. They are now stopped first.

--- a/demo/fleet.sh
+++ b/demo/fleet.sh
@@ -16,7 +16,12 @@
 engine_options=()
 state=$(mktemp -d)
 pids=()
+router_pids=()
+# The routers first: a planned stop needs the store to settle and to return
+# grants, and waits for it as long as it can.
 stop_all() {
+  [ ${#router_pids[@]} -eq 0 ] || kill -TERM "${router_pids[@]}" 2>/dev/null || true
+  [ ${#router_pids[@]} -eq 0 ] || wait "${router_pids[@]}" 2>/dev/null || true
   [ ${#pids[@]} -eq 0 ] || kill -TERM "${pids[@]}" 2>/dev/null || true
   wait 2>/dev/null || true
   rm -rf "$state"
@@ -100,6 +105,7 @@
 url = "http://127.0.0.1:$(port 7501)"
 SETTINGS
     start "router-$n" $bin/crocuslatchd --settings "$state/router-$n.toml"
+    router_pids+=("${pids[-1]}")
   done
 }
 
--- a/src/load_report.cc
+++ b/src/load_report.cc
@@ -262,6 +262,7 @@
   for (std::size_t n = 0; n < plan.phases.size(); ++n) {
     const auto accounts = PhaseEntitlements(plan, transcripts, n);
     std::vector<double> shares;
+    shares.reserve(accounts.size());
     for (const auto& it : accounts) {
       shares.push_back(it.share);
     }
@@ -388,12 +389,12 @@
 
 std::string RankTable(const LoadRunReport& report) {
   auto text = fmt::format(
-      "{:<14}{:<13}{:>6}{:>6}  {:>21}  {:>17}  {:>6}{:>8}{:>8}{:>9}{:>7}\n",
+      "{:<18}{:<13}{:>6}{:>6}  {:>21}  {:>17}  {:>6}{:>8}{:>8}{:>9}{:>7}\n",
       "phase", "rank", "sent", "whole", "first token p50/95/99",
       "between p50/95/99", "first%", "betw.%", "served%", "tokens/s", "kept%");
   for (const auto& it : report.ranks) {
     text += fmt::format(
-        "{:<14}{:<13}{:>6}{:>6}  {:>21}  {:>17}  {:>6.1f}{:>8.1f}{:>8.1f}"
+        "{:<18}{:<13}{:>6}{:>6}  {:>21}  {:>17}  {:>6.1f}{:>8.1f}{:>8.1f}"
         "{:>9.0f}{:>7.1f}\n",
         it.phase, it.rank, it.requests, it.answered,
         fmt::format("{:.0f}/{:.0f}/{:.0f}", it.first_token.p50,
@@ -415,7 +416,7 @@
       "(and part of what they asked for)\n";
   for (const auto& it : report.goodput) {
     text += fmt::format(
-        "{:<14}{:<13} {}: {:.0f} ({:.1f}%), during: {:.0f} ({:.1f}%)\n",
+        "{:<18}{:<13} {}: {:.0f} ({:.1f}%), during: {:.0f} ({:.1f}%)\n",
         it.phase, it.rank, it.compare_to, it.before,
         100 * it.served_share_before, it.during, 100 * it.served_share_during);
   }
@@ -426,7 +427,7 @@
   std::string text =
       "\nshare of entitlement by client account (received / entitled tokens)\n";
   for (const auto& [phase, index] : report.fairness) {
-    text += fmt::format("{:<14}Jain's index {:.4f}\n", phase, index);
+    text += fmt::format("{:<18}Jain's index {:.4f}\n", phase, index);
     for (const auto& it : report.entitlements) {
       if (it.phase == phase) {
         text += fmt::format(
