Bind order keys to budgets and remember the router's own claims

During an outage a retry of an order that this router dispatched was told not_run (before: 503 claim_unconfirmed; after: stored answer, in_progress or outcome_unknown).

--- a/src/order_claims.h
+++ b/src/order_claims.h
@@ -16,8 +16,10 @@
   std::uint32_t shard_count = 16;
   // Timeout of one write of Finish, Abandon or Doubt.
   Millis write_timeout{2000};
-  // Delay before such a write is repeated.
+  // Delay before such writes of a shard are repeated; doubles up to the
+  // longest one while they fail.
   Millis retry_delay{250};
+  Millis longest_retry_delay{2000};
 };
 
 enum class ClaimStatus {
@@ -26,9 +28,11 @@
   kInsufficient,
   kUnknownBudget,
   kKeyReused,
+  // The key belongs to an order on another budget.
+  kOtherBudget,
   // Another attempt holds the claim or has ended; see `record`.
   kExists,
-  // The claim may be in force; it is being abandoned.
+  // Nothing is known to be in force. A claim that was sent is abandoned.
   kUnknown,
 };
 
@@ -71,12 +75,15 @@
               std::function<std::optional<Tokens>(const std::string&)> limit);
   ~OrderClaims();
 
-  // After kUnknown, an Abandon is repeated until it is durable.
+  // Binds the key to the budget, then claims in the budget's shard; both
+  // within the timeout. A claim that was confirmed here is remembered until
+  // its end is durable, and decides without the ledger.
   void Claim(const ClaimRequest& request,
              std::function<void(const ClaimResult&)> callback);
 
-  // Each ends the attempt and is repeated until it is durable. `body` above
-  // kMaxStoredBodyBytes is replaced by a note.
+  // Each ends the attempt and is repeated until it is durable, together with
+  // the others of its shard. `body` above kMaxStoredBodyBytes is replaced by a
+  // note.
   void Finish(const OrderAttempt& attempt, int status, const std::string& body);
   void Abandon(const OrderAttempt& attempt);
   void Doubt(const OrderAttempt& attempt);
--- a/src/order_request.cc
+++ b/src/order_request.cc
@@ -216,6 +216,8 @@
       AnswerByRecord(result.record);
     } else if (result.status == ClaimStatus::kKeyReused) {
       End(KeyReused());
+    } else if (result.status == ClaimStatus::kOtherBudget) {
+      End(KeyOfOtherBudget(caller_.budget));
     } else if (refusal_) {
       End(*refusal_);
     } else if (result.status == ClaimStatus::kInsufficient) {
--- a/src/request_errors.cc
+++ b/src/request_errors.cc
@@ -126,6 +126,15 @@
                     "use a new Idempotency-Key for each order");
 }
 
+RequestError KeyOfOtherBudget(const std::string& budget) {
+  return {422, Outcome::kOutcomeUnknown, "idempotency_key_bound",
+          fmt::format("this Idempotency-Key belongs to an order on a budget "
+                      "other than \"{}\", which may have run",
+                      budget),
+          "name the budget of the first attempt in X-Budget, or use a new "
+          "Idempotency-Key for a new order"};
+}
+
 RequestError ClaimUnconfirmed() {
   return {503,
           Outcome::kNotRun,
--- a/src/request_errors.h
+++ b/src/request_errors.h
@@ -39,6 +39,7 @@
 RequestError OrderInProgress();
 RequestError OrderOutcomeUnknown(const std::string& reason);
 RequestError KeyReused();
+RequestError KeyOfOtherBudget(const std::string& budget);
 RequestError ClaimUnconfirmed();
 
 }  // namespace crocuslatch
--- a/src/shard_state.cc
+++ b/src/shard_state.cc
@@ -328,6 +328,12 @@
 
 }  // namespace
 
+bool MayClaimLater(const ShardReply& reply, std::uint64_t attempt) {
+  return reply.status == ReplyStatus::kExists &&
+         reply.claim.state == ClaimState::kClaimed &&
+         !IsAbandoned(reply.claim, attempt);
+}
+
 Tokens Available(const BudgetRecord& budget) {
   const Tokens available =
       budget.limit - budget.billed - budget.open_charges - Outstanding(budget);
--- a/src/shard_state.h
+++ b/src/shard_state.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <variant>
 #include <vector>
@@ -46,6 +47,10 @@
   bool operator==(const SetLimitCommand&) const = default;
 };
 
+// Budget without tokens whose claims bind the keys of orders to the budgets
+// that the orders are charged to. Not a valid name in the operators' document.
+inline constexpr std::string_view kOrderKeyBudget = "_order-keys";
+
 // Claims the only run of a non-idempotent request and charges its cost.
 struct ClaimCommand {
   RequestKey key;
@@ -193,6 +198,11 @@
   bool operator==(const ShardReply&) const = default;
 };
 
+// True if a claim lost to an open claim of another attempt and the reply,
+// which may come from a cache, does not list it as abandoned. A late copy of
+// it could then take the key, so its sender abandons it.
+bool MayClaimLater(const ShardReply& reply, std::uint64_t attempt);
+
 // limit - billed - open charges - outstanding grants; never negative.
 Tokens Available(const BudgetRecord& budget);
 
--- a/tests/error/document_error_test.cc
+++ b/tests/error/document_error_test.cc
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include "src/document.h"
+#include "src/shard_state.h"
 #include "tests/fixture_document.h"
 
 namespace crocuslatch {
@@ -105,4 +106,15 @@
   CHECK(problems[1].message == "the document has no \"fleet\"");
 }
 
+// Guards against a budget of the operators that shares the name under which
+// the keys of orders are bound.
+TEST_CASE("the budget of order keys is not a valid name") {
+  const auto problems =
+      ProblemsOf(Replaced(SmallDocument(), "name = \"one-main\"",
+                          "name = \"" + std::string(kOrderKeyBudget) + "\""));
+  REQUIRE_FALSE(problems.empty());
+  CHECK(problems[0].line == 14);
+  CHECK_THAT(problems[0].message, Catch::Contains("not a valid name"));
+}
+
 }  // namespace crocuslatch
