Answer claims by durable cached records during an outage

Cause: a shard writer whose cache holds the claim of an order gave no answer while the store was down, so the retry was told not_run. Changed: a claim that a durable record of another attempt decides is answered without a write: at once if the record is finished or the store failed within 2 s, otherwise after 100 ms without an answer. Abandoned records and the attempt's own claim never decide. Bindings of keys are kept for twice the retention of claims. Ruled out: answering open claims always from the cache; a writer that is seldom asked would then hide for ever that the order finished elsewhere.

--- a/src/shard_writer.cc
+++ b/src/shard_writer.cc
@@ -5,6 +5,7 @@
 #include <QDateTime>
 #include <QRandomGenerator>
 #include <algorithm>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -20,12 +21,23 @@
 // Segments read at the same time when a shard is loaded.
 constexpr std::size_t kMaxSegmentReads = 16;
 
+// Time after which a claim that the cache decides is answered without the
+// store. The store answers in milliseconds, and a peer waits 400 ms for the
+// answer.
+constexpr Millis kStorePatience{100};
+
+// Time after a failed store call in which such claims do not wait at all.
+// Bounded, so that a shard without other commands asks the store again.
+constexpr Millis kOutageMemory{2000};
+
 // One call of the writer: commands that are applied together.
 struct Pending {
   std::vector<ShardCommand> commands;
   Millis deadline{0};
   // Latest time at which its write starts.
   Millis write_by{0};
+  // From then on the cache may answer without the store.
+  Millis known_from = Millis::max();
   // Empty once answered.
   LedgerCallback callback;
 };
@@ -36,11 +48,17 @@
   ShardSegment entries;
   // Version of the stored value, to remove it.
   std::uint64_t version = 0;
-  // Newest entry of each kind; 0 if there is none.
+  // Newest entry of each kind; a low value if there is none.
   std::int64_t newest_bill_ms = 0;
   std::int64_t newest_claim_ms = 0;
+  std::int64_t newest_binding_ms = std::numeric_limits<std::int64_t>::min();
 };
 
+// True for the record that binds an order's key to its budget.
+bool IsBinding(const ClaimRecord& record) {
+  return record.budget == kOrderKeyBudget;
+}
+
 using SegmentCache =
     std::map<std::string, std::shared_ptr<const LoadedSegment>>;
 
@@ -58,6 +76,8 @@
   // Earliest wake-up set for calls that may wait; max() if none.
   Millis wake_at = Millis::max();
   Millis used_at{0};
+  // Last store call without an answer.
+  std::optional<Millis> failed_at;
 };
 
 struct NewSegment {
@@ -92,8 +112,9 @@
         std::max(segment->newest_bill_ms, it.second.billed_ms);
   }
   for (const auto& it : entries.claims) {
-    segment->newest_claim_ms =
-        std::max(segment->newest_claim_ms, it.second.changed_ms);
+    auto& newest = IsBinding(it.second) ? segment->newest_binding_ms
+                                        : segment->newest_claim_ms;
+    newest = std::max(newest, it.second.changed_ms);
   }
   segment->entries = std::move(entries);
   segment->version = version;
@@ -166,6 +187,98 @@
       command);
 }
 
+// The newest record of the key in the cached state, which was durable.
+// nullptr if there is none or a segment is not loaded.
+const ClaimRecord* FindDurableClaim(const Shard& shard, const RequestKey& key) {
+  const auto it = shard.state.claims.find(key);
+  if (it != shard.state.claims.end()) {
+    return &it->second;
+  }
+  const bool is_whole = std::ranges::all_of(
+      shard.state.segments,
+      [&](const auto& name) { return shard.segments.contains(name); });
+  return is_whole ? FindInSegments(shard, &ShardSegment::claims, key) : nullptr;
+}
+
+// Replies to a batch that the cached state decides.
+struct KnownReplies {
+  std::vector<ShardReply> replies;
+  // No later state would reply otherwise.
+  bool is_final = true;
+};
+
+bool AddKnownReply(const Shard& shard,
+                   const SetLimitCommand& command,
+                   KnownReplies& known) {
+  const auto it = shard.state.budgets.find(command.budget);
+  if (it == shard.state.budgets.end() || it->second.limit < command.limit) {
+    return false;
+  }
+  known.replies.push_back({.available = Available(it->second)});
+  return true;
+}
+
+// An abandoned record does not decide, nor does the present claim of the
+// attempt that asks: that attempt must not be told of itself as of another.
+bool AddKnownReply(const Shard& shard,
+                   const ClaimCommand& command,
+                   KnownReplies& known) {
+  const auto* record = FindDurableClaim(shard, command.key);
+  if (!record || record->state == ClaimState::kAbandoned) {
+    return false;
+  }
+  if (record->digest != command.digest) {
+    known.replies.push_back({.status = ReplyStatus::kKeyReused});
+    return true;
+  }
+  if (record->state == ClaimState::kClaimed &&
+      record->attempt == command.attempt) {
+    return false;
+  }
+  known.is_final = known.is_final && record->state == ClaimState::kFinished;
+  known.replies.push_back({.status = ReplyStatus::kExists, .claim = *record});
+  return true;
+}
+
+// Follows a claim of the same batch that lost to a finished record.
+bool AddKnownReply(const Shard& shard,
+                   const FinishCommand& command,
+                   KnownReplies& known) {
+  const auto* record = FindDurableClaim(shard, command.key);
+  if (!record || record->state != ClaimState::kFinished) {
+    return false;
+  }
+  const bool is_own = record->attempt == command.attempt;
+  known.replies.push_back(
+      {.status = is_own ? ReplyStatus::kOk : ReplyStatus::kNotHeld});
+  return true;
+}
+
+bool IsClaim(const ShardCommand& command) {
+  return std::holds_alternative<ClaimCommand>(command);
+}
+
+// The replies to a batch with a claim if they rest only on durable records
+// that cannot be taken back; nullopt for all other batches.
+std::optional<KnownReplies> FindKnownReplies(
+    const Shard& shard,
+    const std::vector<ShardCommand>& commands) {
+  KnownReplies known;
+  const auto add = [&](const auto& it) {
+    if constexpr (requires { AddKnownReply(shard, it, known); }) {
+      return AddKnownReply(shard, it, known);
+    } else {
+      return false;
+    }
+  };
+  if (std::ranges::none_of(commands, IsClaim) ||
+      !std::ranges::all_of(
+          commands, [&](const auto& it) { return std::visit(add, it); })) {
+    return std::nullopt;
+  }
+  return known;
+}
+
 // Takes entries that the commands did not change out of the state again.
 void PutBack(ShardState& state, const Recalled& recalled) {
   for (const auto& it : recalled.bills) {
@@ -185,16 +298,21 @@
                     ShardState& state) {
   const std::int64_t bill_end = now_ms - options.bill_retention.count();
   const std::int64_t claim_end = now_ms - options.claim_retention.count();
+  // A binding is as old as the first use of its key. It must outlive the
+  // claims of all attempts that began within the retention time.
+  const std::int64_t binding_end = now_ms - 2 * options.claim_retention.count();
   std::erase_if(state.bills,
                 [&](const auto& it) { return it.second.billed_ms < bill_end; });
   std::erase_if(state.claims, [&](const auto& it) {
     return it.second.state != ClaimState::kClaimed &&
-           it.second.changed_ms < claim_end;
+           it.second.changed_ms <
+               (IsBinding(it.second) ? binding_end : claim_end);
   });
   std::erase_if(state.segments, [&](const auto& it) {
     const auto& segment = *segments.at(it);
     return segment.newest_bill_ms < bill_end &&
-           segment.newest_claim_ms < claim_end;
+           segment.newest_claim_ms < claim_end &&
+           segment.newest_binding_ms < binding_end;
   });
   for (auto& [name, budget] : state.budgets) {
     std::erase_if(budget.grants, [&](const auto& it) {
@@ -299,6 +417,14 @@
               LedgerCallback callback) {
     DropUnusedShards();
     const auto shard = ShardFor(number);
+    const auto known = FindKnownReplies(*shard, commands);
+    if (known && (known->is_final || FailedLately(*shard))) {
+      loop_.post([callback = std::move(callback), replies = known->replies] {
+        callback(LedgerStatus::kDurable, replies);
+      });
+      return;
+    }
+    const bool has_claim = std::ranges::any_of(commands, IsClaim);
     auto pending = std::make_shared<Pending>();
     const bool may_wait = std::ranges::all_of(commands, OnlySettles);
     pending->commands = std::move(commands);
@@ -307,6 +433,9 @@
     const Millis wait = std::min(options_.settle_delay, timeout / 2);
     pending->write_by = loop_.now() + (may_wait ? wait : Millis{0});
     pending->callback = std::move(callback);
+    if (has_claim) {
+      AnswerKnownAfter(shard, pending, std::min(kStorePatience, timeout / 4));
+    }
     shard->queue.push_back(pending);
     loop_.after(timeout, [self = weak_from_this(), shard] {
       if (const auto it = self.lock()) {
@@ -339,6 +468,53 @@
     });
   }
 
+  bool FailedLately(const Shard& shard) const {
+    return shard.failed_at && loop_.now() - *shard.failed_at < kOutageMemory;
+  }
+
+  // Called with the status of every answer of the store.
+  void Note(Shard& shard, StoreStatus status) {
+    if (status != StoreStatus::kUnknown) {
+      shard.failed_at.reset();
+      return;
+    }
+    shard.failed_at = loop_.now();
+    AnswerKnown(shard, Millis::max());
+  }
+
+  void AnswerKnownAfter(const ShardPtr& shard,
+                        const std::shared_ptr<Pending>& pending,
+                        Millis delay) {
+    pending->known_from = loop_.now() + delay;
+    loop_.after(delay, [self = weak_from_this(), shard,
+                        known_from = pending->known_from] {
+      if (const auto it = self.lock()) {
+        it->AnswerKnown(*shard, known_from);
+      }
+    });
+  }
+
+  // Answers the calls that the cache decides and whose `known_from` is at
+  // most `known_from`. They take no part in later writes; a write in progress
+  // only marks their attempts as abandoned.
+  static void AnswerKnown(Shard& shard, Millis known_from) {
+    std::vector<std::pair<LedgerCallback, std::vector<ShardReply>>> answers;
+    std::erase_if(shard.queue, [&](const auto& it) {
+      if (it->known_from > known_from) {
+        return false;
+      }
+      auto known = FindKnownReplies(shard, it->commands);
+      if (known) {
+        answers.emplace_back(std::exchange(it->callback, nullptr),
+                             std::move(known->replies));
+      }
+      return known.has_value();
+    });
+    for (const auto& [callback, replies] : answers) {
+      callback(LedgerStatus::kDurable, replies);
+    }
+  }
+
   // Answers the calls whose time is over. They take no part in later writes.
   void Expire(Shard& shard) {
     const auto now = loop_.now();
@@ -410,6 +586,7 @@
   void Load(const ShardPtr& shard) {
     store_.get(ShardKey(shard->number),
                [self = shared_from_this(), shard](const StoreResult& result) {
+                 self->Note(*shard, result.status);
                  if (auto state = StateIn(shard->number, result)) {
                    Adopt(*shard, std::move(*state), result.version);
                    self->Run(shard);
@@ -451,6 +628,7 @@
     for (const auto& it : keys) {
       store_.get(it, [self = shared_from_this(), shard, reads,
                       key = it](const StoreResult& result) {
+        self->Note(*shard, result.status);
         reads->failed |= !AddLoadedSegment(*shard, key, result);
         reads->left -= 1;
         if (reads->left > 0) {
@@ -528,6 +706,7 @@
   void Confirm(const ShardPtr& shard, const AttemptPtr& attempt) {
     store_.get(ShardKey(shard->number), [self = shared_from_this(), shard,
                                          attempt](const StoreResult& result) {
+      self->Note(*shard, result.status);
       auto state = StateIn(shard->number, result);
       if (!state) {
         shard->loaded = false;
@@ -554,6 +733,7 @@
     store_.put(segment.key, segment.value, 0,
                [self = shared_from_this(), shard, attempt,
                 index](const StoreResult& result) {
+                 self->Note(*shard, result.status);
                  if (result.status != StoreStatus::kOk) {
                    self->RunLater(shard);
                    return;
@@ -570,6 +750,7 @@
         ShardKey(shard->number), EncodeShardState(attempt->next),
         attempt->base_version,
         [self = shared_from_this(), shard, attempt](const StoreResult& result) {
+          self->Note(*shard, result.status);
           if (result.status == StoreStatus::kOk) {
             self->Commit(shard, attempt, result.version);
             return;
@@ -600,6 +781,7 @@
     }
     store_.get(ShardKey(shard->number), [self = shared_from_this(), shard,
                                          attempt](const StoreResult& result) {
+      self->Note(*shard, result.status);
       auto state = StateIn(shard->number, result);
       if (!state) {
         self->ReadBackLater(shard, attempt);
--- a/src/shard_writer.h
+++ b/src/shard_writer.h
@@ -48,6 +48,13 @@
 // Makes the function that applies commands to shards. It and its callbacks
 // run on the loop's thread. After the timeout the callback gets kUnknown, and
 // the commands may still take effect.
+//
+// A claim whose key has a durable record of another attempt in the cache is
+// answered without a write: at once if the record is finished, otherwise if
+// the store does not answer soon. The record may have moved on in the store.
+// The claim's own attempt is then missing in `abandoned_attempts` of a record
+// that is claimed, and has to be abandoned if another copy of the command may
+// arrive later.
 ApplyToShard MakeShardWriter(ShardWriterOptions options,
                              Store store,
                              EventLoop loop);
--- a/tests/correctness/shard_writer_test.cc
+++ b/tests/correctness/shard_writer_test.cc
@@ -135,6 +135,33 @@
   CHECK(ledger.store.values.size() == 1);
 }
 
+// Guards against a key that is bound to another budget while the claims of
+// its first one are kept. 520 claims move the binding to a segment.
+TEST_CASE("the binding of a key outlives the claims of its retries") {
+  LedgerFixture ledger;
+  const auto writer = ledger.Writer();
+  const std::string budget(kOrderKeyBudget);
+  const auto bind = [&](std::uint64_t digest) {
+    return std::vector<ShardCommand>{
+        SetLimitCommand{budget, 0},
+        ClaimCommand{{5, 5}, {1, digest}, budget, 0, 1, {"a", 1}},
+        FinishCommand{{5, 5}, 1, 0, ""}};
+  };
+  const auto has_segment = GENERATE(false, true);
+  REQUIRE(ledger.Apply(writer, bind(1)));
+  for (std::uint64_t i = 0; has_segment && i < 520; ++i) {
+    REQUIRE(ledger.Apply(writer, {AbandonCommand{{1, i}, 1, "b"}}));
+  }
+  ledger.loop.RunFor(std::chrono::hours(47));
+  REQUIRE(ledger.Apply(writer, {SetLimitCommand{"b", 1}}));
+  CHECK(ledger.Apply(ledger.Writer(), bind(2))->at(1).status ==
+        ReplyStatus::kKeyReused);
+  ledger.loop.RunFor(std::chrono::hours(2));
+  REQUIRE(ledger.Apply(writer, {SetLimitCommand{"b", 2}}));
+  CHECK(ledger.Apply(ledger.Writer(), bind(2))->at(1).status ==
+        ReplyStatus::kOk);
+}
+
 // Guards against reports that change or miss the stored state.
 TEST_CASE("a shard can be read without a writer") {
   LedgerFixture ledger;
