Follow the heartbeat's new form in the capacity program

The heartbeat lost its sender and holds the hash as bytes, so the target capacity did not compile after the merge.

--- a/tests/performance/capacity_main.cc
+++ b/tests/performance/capacity_main.cc
@@ -543,8 +543,7 @@
 
 PackedBody PackHeartbeat(flatbuffers::FlatBufferBuilder& builder,
                          int incarnations) {
-  const auto sender = PackIncarnation(builder, MakeIncarnation(0));
-  const auto sha256 = builder.CreateString(std::string(64, 'a'));
+  const auto sha256 = builder.CreateVector(std::vector<std::uint8_t>(32));
   std::vector<flatbuffers::Offset<wire::Incarnation>> heard_of;
   heard_of.reserve(static_cast<std::size_t>(incarnations));
   for (int i = 0; i < incarnations; ++i) {
@@ -552,7 +551,7 @@
   }
   const auto vector = builder.CreateVector(heard_of);
   return {wire::Body::Heartbeat,
-          wire::CreateHeartbeat(builder, sender, 7, sha256, vector).Union()};
+          wire::CreateHeartbeat(builder, 7, sha256, vector).Union()};
 }
 
 PackedBody PackExchange(flatbuffers::FlatBufferBuilder& builder, int bills) {
