--- a/tests/error/load_plan_error_test.cc
+++ b/tests/error/load_plan_error_test.cc
@@ -97,8 +97,8 @@
   for (const auto* it :
        {"the plan has no [[target]] (add at least one)",
         "the plan has no [[client_account]]",
-        "line 7: \"client_account\" of [[stream]] names the client_account "
-        "\"nobody\"",
+        "line 7: \"client_account\" of [[stream]] names the client_account",
+        "the client_account \"nobody\", which does not exist",
         "line 8: \"rank\" of [[stream]] names the target \"none\"",
         "[[stream]] has no \"rate\"", "line 10: \"min_prompt_words\" is above",
         "only one of \"shared_prefixes\" and \"prefix_words\"",
