Merge two equal branches in the order claims

Cause: clang-tidy reports bugprone-branch-clone in OnBound. Changed: one branch for a binding that failed or came too late; no change of behaviour. Result: test_correctness (136) and test_error (60) pass.

--- a/src/order_claims.cc
+++ b/src/order_claims.cc
@@ -280,11 +280,11 @@
   }
 
   void OnBound(const ClaimCallPtr& call, ReplyStatus status) {
+    const bool is_bound =
+        status == ReplyStatus::kOk || status == ReplyStatus::kExists;
     if (status == ReplyStatus::kKeyReused) {
       call->End(ClaimStatus::kOtherBudget);
-    } else if (status != ReplyStatus::kOk && status != ReplyStatus::kExists) {
-      call->End(ClaimStatus::kUnknown);
-    } else if (call->deadline <= loop.now()) {
+    } else if (!is_bound || call->deadline <= loop.now()) {
       // The claim was not sent.
       call->End(ClaimStatus::kUnknown);
     } else {
