--- a/src/daemon_main.cc
+++ b/src/daemon_main.cc
@@ -67,7 +67,8 @@
     fmt::print(stderr, "crocuslatchd: cannot install signal handlers\n");
     return kExitFailed;
   }
-  crocuslatch::Router router(settings);
+  crocuslatch::Router router(settings,
+                             [] { QCoreApplication::exit(kExitFailed); });
   QSocketNotifier notifier(signal_sockets[1], QSocketNotifier::Read);
   QObject::connect(&notifier, &QSocketNotifier::activated, [&router] {
     std::array<char, 16> buf{};
@@ -75,10 +76,10 @@
         ::read(signal_sockets[1], buf.data(), buf.size());
     router.Stop([] { QCoreApplication::quit(); });
   });
-  QCoreApplication::exec();
+  const int exit_code = QCoreApplication::exec();
   crocuslatch::Log(crocuslatch::LogEvent::kStopped, "host {}",
                    settings.host_name);
-  return kExitOk;
+  return exit_code;
 }
 
 }  // namespace
--- a/src/router.cc
+++ b/src/router.cc
@@ -87,8 +87,9 @@
 }  // namespace
 
 struct Router::Core : std::enable_shared_from_this<Router::Core> {
-  explicit Core(const Settings& settings)
+  Core(const Settings& settings, std::function<void()> on_failed)
       : settings(settings),
+        on_failed(std::move(on_failed)),
         loop(MakeQtEventLoop()),
         own(MakeMembershipOptions(settings)),
         membership(own, loop.now),
@@ -100,6 +101,7 @@
         metrics(std::make_shared<Metrics>()) {}
 
   const Settings settings;
+  const std::function<void()> on_failed;
   const EventLoop loop;
   HttpClient client;
   Store store;
@@ -372,7 +374,7 @@
       }
     } catch (const UserError& error) {
       Log(LogEvent::kListenFailed, "{}; {}", error.what(), error.remedy());
-      std::raise(SIGTERM);
+      on_failed();
       return;
     }
     Log(LogEvent::kStarted, "host {} caller port {} admin port {} peer port {}",
@@ -422,8 +424,8 @@
   }
 };
 
-Router::Router(const Settings& settings)
-    : core_(std::make_shared<Core>(settings)) {
+Router::Router(const Settings& settings, std::function<void()> on_failed)
+    : core_(std::make_shared<Core>(settings, std::move(on_failed))) {
   core_->Start();
 }
 
--- a/src/router.h
+++ b/src/router.h
@@ -15,8 +15,9 @@
 // the first configuration document is in force.
 class Router {
  public:
-  // Throws UserError "listen_failed".
-  explicit Router(const Settings& settings);
+  // Throws UserError "listen_failed". `on_failed` is called if the callers'
+  // listener cannot be opened later.
+  Router(const Settings& settings, std::function<void()> on_failed);
   ~Router();
   Router(const Router&) = delete;
   Router& operator=(const Router&) = delete;
--- a/tests/process/configuration_test.cc
+++ b/tests/process/configuration_test.cc
@@ -70,4 +70,13 @@
   CHECK(fleet.VersionInForce(2) == 2);
 }
 
+// Guards against a router that cannot serve callers and ends as if it had been
+// stopped as planned, so that its supervisor does not start it again.
+TEST_CASE("a router that cannot listen for callers ends with an error") {
+  Fleet fleet({.engines = 1});
+  // An address of no host (RFC 5737).
+  fleet.RestartRouter(2, "192.0.2.1");
+  CHECK(fleet.router(2).WaitExit(Millis(10000)) == 1);
+}
+
 }  // namespace crocuslatch::test
--- a/tests/process/fleet.cc
+++ b/tests/process/fleet.cc
@@ -86,19 +86,19 @@
   }
 }
 
-void Fleet::StartRouter(std::size_t i) {
+void Fleet::StartRouter(std::size_t i, const std::string& caller_address) {
   const auto& store = options_.relays ? store_relays_[i] : store_;
   const auto& ports = ports_[i];
   const auto settings = fmt::format(
       "[host]\nname = \"router-{}\"\nfailure_domain = \"domain-{}\"\n"
-      "[caller]\naddress = \"127.0.0.1\"\nport = {}\n"
+      "[caller]\naddress = \"{}\"\nport = {}\n"
       "[admin]\naddress = \"127.0.0.1\"\nport = {}\ntoken = \"{}\"\n"
       "[peer]\naddress = \"127.0.0.1\"\nport = {}\n"
       "fleet_secret = \"process-test-fleet-secret\"\n"
       "[store]\nurl = \"http://127.0.0.1:{}\"\n"
       "[host_list]\nurl = \"http://127.0.0.1:{}\"\n",
-      i, i % 3, ports.caller, ports.admin, kAdminToken, ports.peer,
-      store->port(), hosts_->port());
+      i, i % 3, caller_address, ports.caller, ports.admin, kAdminToken,
+      ports.peer, store->port(), hosts_->port());
   const auto name = dir_.filePath(QString("router-%1").arg(i)).toStdString();
   QFile file(QString::fromStdString(name + ".toml"));
   file.open(QIODevice::WriteOnly);
@@ -109,9 +109,9 @@
       name + ".log");
 }
 
-void Fleet::RestartRouter(std::size_t i) {
+void Fleet::RestartRouter(std::size_t i, const std::string& caller_address) {
   routers_[i].reset();
-  StartRouter(i);
+  StartRouter(i, caller_address);
 }
 
 void Fleet::PublishHosts() {
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -51,8 +51,9 @@
 
   std::size_t router_count() const { return ports_.size(); }
   Process& router(std::size_t i) { return *routers_.at(i); }
-  // Starts another process on the same host and addresses.
-  void RestartRouter(std::size_t i);
+  // Starts another process on the same host and ports.
+  void RestartRouter(std::size_t i,
+                     const std::string& caller_address = "127.0.0.1");
   bool IsReady(std::size_t i);
 
   // Sends /control to a stand-in, or reads its /stats.
@@ -110,7 +111,8 @@
       const std::vector<std::string>& arguments);
   std::unique_ptr<Process> MakeRelay(std::uint16_t target);
   void StartStandins();
-  void StartRouter(std::size_t i);
+  void StartRouter(std::size_t i,
+                   const std::string& caller_address = "127.0.0.1");
   void PublishHosts();
   void PutDocument();
   std::string Document(Tokens prepaid) const;
