Check duplicate names in one place

Cause: document.cc and load_plan.cc had the same check of duplicate values. Change: TomlReader::AddUnique and LineIndex serve both; messages are unchanged.

--- a/src/document.cc
+++ b/src/document.cc
@@ -36,32 +36,11 @@
 constexpr double kShareTolerance = 1e-9;
 constexpr std::size_t kSha256HexDigits = 64;
 
-// Lines of the names of one section, to find duplicates and to check
-// references to the section.
-using NameIndex = std::unordered_map<std::string, std::uint32_t>;
-
-void AddUnique(TomlReader& reader,
-               std::string_view key,
-               const std::string& value,
-               NameIndex& index) {
-  if (value.empty()) {
-    return;
-  }
-  const auto [it, added] = index.emplace(value, reader.LineOf(key));
-  if (!added) {
-    reader.Report(reader.LineOf(key),
-                  fmt::format("duplicate {} \"{}\" of {}; the first is on "
-                              "line {}",
-                              key, value, reader.place(), it->second),
-                  "remove or rename one of the two");
-  }
-}
-
 void CheckReference(TomlReader& reader,
                     std::string_view key,
                     const std::string& value,
                     std::string_view section,
-                    const NameIndex& index) {
+                    const LineIndex& index) {
   if (!reader.Has(key) || value.empty() || index.contains(value)) {
     return;
   }
@@ -152,7 +131,7 @@
     it.ReadNumber("share", rank.share, 0, 1);
     it.ReadInteger<std::uint32_t>("max_queued", rank.max_queued, 1, kMaxQueued,
                                   Need::kOptional);
-    AddUnique(it, "name", rank.name, ranks_);
+    it.AddUnique("name", rank.name, ranks_);
     share_sum_ += rank.share;
     if (share_sum_ > 1 + kShareTolerance && share_line_ == 0) {
       share_line_ = it.LineOf("share");
@@ -178,7 +157,7 @@
     it.ReadNumber("weight", account.weight, kMinWeight, kMaxWeight);
     it.Read("default_rank", account.default_rank, Need::kRequired);
     it.ReadNames("ranks", account.ranks);
-    AddUnique(it, "name", account.name, client_accounts_);
+    it.AddUnique("name", account.name, client_accounts_);
     CheckReference(it, "default_rank", account.default_rank, "rank", ranks_);
     for (const auto& rank : account.ranks) {
       CheckReference(it, "ranks", rank, "rank", ranks_);
@@ -207,7 +186,7 @@
     it.Read("client_account", budget.client_account, Need::kRequired);
     it.ReadInteger<Tokens>("prepaid", budget.prepaid, 0, kMaxTokens,
                            Need::kRequired);
-    AddUnique(it, "name", budget.name, budgets_);
+    it.AddUnique("name", budget.name, budgets_);
     CheckReference(it, "client_account", budget.client_account,
                    "client_account", client_accounts_);
     budget_owners_.emplace(budget.name, budget.client_account);
@@ -225,7 +204,7 @@
                 "give the 64 lower-case hex digits that `printf %s KEY | "
                 "sha256sum` prints; never the key itself");
     }
-    AddUnique(it, "sha256", key.sha256, api_keys_);
+    it.AddUnique("sha256", key.sha256, api_keys_);
     CheckReference(it, "client_account", key.client_account, "client_account",
                    client_accounts_);
     CheckReference(it, "budget", key.budget, "budget", budgets_);
@@ -253,7 +232,7 @@
                   kMinTokensPerByte, kMaxTokensPerByte);
     it.ReadInteger<Tokens>("max_output_tokens", model.max_output_tokens, 1,
                            kMaxOutputTokens, Need::kOptional);
-    AddUnique(it, "name", model.name, models_);
+    it.AddUnique("name", model.name, models_);
     out_.models.push_back(std::move(model));
   }
 
@@ -264,7 +243,7 @@
     it.ReadInteger<Tokens>("cost", service.cost, 0, kMaxTokens,
                            Need::kOptional);
     it.ReadMillis("timeout_ms", service.timeout, kMinTime, kMaxTime);
-    AddUnique(it, "name", service.name, services_);
+    it.AddUnique("name", service.name, services_);
     out_.services.push_back(std::move(service));
   }
 
@@ -279,7 +258,7 @@
                                   Need::kOptional);
     it.Read("drain", server.drain);
     it.Read("checks_fence", server.checks_fence);
-    AddUnique(it, "name", server.name, backend_servers_);
+    it.AddUnique("name", server.name, backend_servers_);
     CheckAddress(it, server);
     CheckModelOrService(it, server);
     out_.backend_servers.push_back(std::move(server));
@@ -296,7 +275,7 @@
           fmt::format("\"{}\" is not an IP number with a port", server.address),
           "give <IP number>:<port>, for example 10.0.0.5:8000");
     }
-    AddUnique(it, "address", server.address, addresses_);
+    it.AddUnique("address", server.address, addresses_);
   }
 
   void CheckModelOrService(TomlReader& it, const BackendServerConfig& server) {
@@ -314,14 +293,14 @@
   TomlReader top_;
   DocumentProblems& problems_;
   Document out_;
-  NameIndex ranks_;
-  NameIndex client_accounts_;
-  NameIndex budgets_;
-  NameIndex api_keys_;
-  NameIndex models_;
-  NameIndex services_;
-  NameIndex backend_servers_;
-  NameIndex addresses_;
+  LineIndex ranks_;
+  LineIndex client_accounts_;
+  LineIndex budgets_;
+  LineIndex api_keys_;
+  LineIndex models_;
+  LineIndex services_;
+  LineIndex backend_servers_;
+  LineIndex addresses_;
   std::unordered_map<std::string, std::string> budget_owners_;
   double share_sum_ = 0;
   std::uint32_t share_line_ = 0;
--- a/src/load_plan.cc
+++ b/src/load_plan.cc
@@ -29,8 +29,6 @@
 constexpr double kMaxWeight = 1e6;
 constexpr double kMinWeight = 1e-6;
 
-using LineIndex = std::unordered_map<std::string, std::uint32_t>;
-
 bool IsLoopback(const std::string& address) {
   const auto endpoint = ParseIpEndpoint(address);
   return endpoint &&
@@ -71,23 +69,6 @@
     });
   }
 
-  static void AddUnique(TomlReader& it,
-                        std::string_view key,
-                        const std::string& value,
-                        LineIndex& index) {
-    if (value.empty()) {
-      return;
-    }
-    const auto [first, added] = index.emplace(value, it.LineOf(key));
-    if (!added) {
-      it.Report(it.LineOf(key),
-                fmt::format("duplicate {} \"{}\" of {}; the first is on line "
-                            "{}",
-                            key, value, it.place(), first->second),
-                "remove or rename one of the two");
-    }
-  }
-
   static void CheckReference(TomlReader& it,
                              std::string_view key,
                              const std::string& value,
@@ -149,7 +130,7 @@
     it.ReadMillis("first_token_ms", target.first_token, kMinTime, kMaxDuration);
     it.ReadMillis("between_tokens_ms", target.between_tokens, kMinTime,
                   kMaxDuration);
-    AddUnique(it, "rank", target.rank, ranks_);
+    it.AddUnique("rank", target.rank, ranks_);
     out_.targets.push_back(std::move(target));
   }
 
@@ -159,7 +140,7 @@
     it.Read("api_key", account.api_key, Need::kRequired);
     it.ReadNumber("weight", account.weight, kMinWeight, kMaxWeight);
     it.Read("budget_covers", account.budget_covers);
-    AddUnique(it, "name", account.name, accounts_);
+    it.AddUnique("name", account.name, accounts_);
     out_.client_accounts.push_back(std::move(account));
   }
 
@@ -183,7 +164,7 @@
     it.ReadNumber("order_fraction", stream.order_fraction, 0, 1);
     it.Read("service", stream.service, Need::kOptional);
     it.ReadMillis("deadline_ms", stream.deadline, kMinTime, kMaxDuration);
-    AddUnique(it, "name", stream.name, streams_);
+    it.AddUnique("name", stream.name, streams_);
     CheckReference(it, "client_account", stream.client_account,
                    "client_account", accounts_);
     CheckReference(it, "rank", stream.rank, "target", ranks_);
@@ -235,7 +216,7 @@
     }
     CheckOnceEach(it, phase.streams);
     CheckReference(it, "compare_to", phase.compare_to, "phase", phases_);
-    AddUnique(it, "name", phase.name, phases_);
+    it.AddUnique("name", phase.name, phases_);
     out_.phases.push_back(std::move(phase));
   }
 
--- a/src/toml_reader.cc
+++ b/src/toml_reader.cc
@@ -83,6 +83,21 @@
   problems_.push_back({line, std::move(message), std::move(remedy)});
 }
 
+void TomlReader::AddUnique(std::string_view key,
+                           const std::string& value,
+                           LineIndex& index) {
+  if (value.empty()) {
+    return;
+  }
+  const auto [it, added] = index.emplace(value, LineOf(key));
+  if (!added) {
+    Report(LineOf(key),
+           fmt::format("duplicate {} \"{}\" of {}; the first is on line {}",
+                       key, value, place(), it->second),
+           "remove or rename one of the two");
+  }
+}
+
 void TomlReader::ReportType(std::string_view key,
                             const toml::node& node,
                             std::string_view expected) {
--- a/src/toml_reader.h
+++ b/src/toml_reader.h
@@ -9,6 +9,7 @@
 #include <limits>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "src/document.h"
@@ -18,6 +19,9 @@
 
 namespace crocuslatch {
 
+// Lines on which values stand, for checks of duplicates and references.
+using LineIndex = std::unordered_map<std::string, std::uint32_t>;
+
 using DocumentProblems = std::vector<DocumentProblem>;
 
 enum class Need { kRequired, kOptional };
@@ -79,6 +83,11 @@
   std::uint32_t line() const { return table_.source().begin.line; }
   const std::string& place() const { return place_; }
   void Report(std::uint32_t line, std::string message, std::string remedy);
+  // Reports a value that `index` has already; adds it otherwise. An empty
+  // value is ignored.
+  void AddUnique(std::string_view key,
+                 const std::string& value,
+                 LineIndex& index);
 
  private:
   const toml::node* Find(std::string_view key, Need need);
