--- /dev/null
+++ b/app/forwarding.h
@@ -0,0 +1,49 @@
+#ifndef APP_FORWARDING_H_
+#define APP_FORWARDING_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "core/desired_state.h"
+#include "core/placement.h"
+#include "core/retry_budget.h"
+#include "io/http_client.h"
+#include "io/http_front.h"
+#include "src/event_loop.h"
+#include "src/grant_table.h"
+
+// Defines the path of one forwarded request from its arrival to its answer.
+
+namespace crocuslatch {
+
+// What forwarding needs; all of it belongs to the thread of `loop`.
+struct ForwardContext {
+  EventLoop loop;
+  HttpClient* client = nullptr;
+  Placement* placement = nullptr;
+  RetryBudget* retries = nullptr;
+  // The version in force; null before the first one is known.
+  std::function<RoutingTablePointer()> routing;
+  // Reserves tokens of a client account; see GrantTable.
+  std::function<void(const std::string& account,
+                     Tokens amount,
+                     Millis wait,
+                     std::function<void(ReserveStatus)>)>
+      reserve;
+  // Ends a reservation; `used` of it is spent.
+  std::function<
+      void(const std::string& account, Tokens reserved, Tokens used)>
+      settle;
+  // Uniform in [0, 1).
+  std::function<double()> random;
+};
+
+// Ends in exactly one answer, refusal or closed connection.
+void ForwardRequest(const std::shared_ptr<const ForwardContext>& context,
+                    const IncomingRequest& request,
+                    HttpReply reply);
+
+}  // namespace crocuslatch
+
+#endif  // APP_FORWARDING_H_
--- /dev/null
+++ b/core/model_work.h
@@ -0,0 +1,34 @@
+#ifndef CORE_MODEL_WORK_H_
+#define CORE_MODEL_WORK_H_
+
+#include <string>
+#include <vector>
+
+#include "src/types.h"
+
+// Defines what a request asks of a model engine.
+
+namespace crocuslatch {
+
+// A part of a prompt that engines may have cached.
+struct PromptPart {
+  std::string id;
+  Tokens tokens = 0;
+  bool operator==(const PromptPart&) const = default;
+};
+
+struct ModelWork {
+  std::string model;
+  Tokens prompt_tokens = 0;
+  Tokens max_output_tokens = 0;
+  // The caller's estimate of the output; 0 if it made none. Often far off.
+  Tokens expected_output_tokens = 0;
+  // In the order of the prompt. The last one belongs to the request or to its
+  // session; the prompt may go on behind it.
+  std::vector<PromptPart> parts;
+  bool operator==(const ModelWork&) const = default;
+};
+
+}  // namespace crocuslatch
+
+#endif  // CORE_MODEL_WORK_H_
--- /dev/null
+++ b/core/placement.cc
@@ -0,0 +1,264 @@
+#include "core/placement.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace crocuslatch {
+namespace {
+
+// Rank of the server for the session: the highest is its home.
+std::uint64_t HomeRank(std::string_view session, std::string_view server_id) {
+  return StableHash(server_id, StableHash(session));
+}
+
+}  // namespace
+
+Placement::Placement(PlacementOptions options, std::string own_failure_domain)
+    : options_(options), own_failure_domain_(std::move(own_failure_domain)) {}
+
+void Placement::SetServers(const std::vector<BackendEntry>& entries,
+                           Millis now) {
+  std::map<std::string, Server> next;
+  for (const auto& it : entries) {
+    const auto found = servers_.find(it.id);
+    Server server;
+    const bool is_same = found != servers_.end() &&
+                         found->second.entry.born_ms == it.born_ms &&
+                         found->second.entry.address == it.address &&
+                         found->second.entry.service == it.service;
+    if (is_same) {
+      server = std::move(found->second);
+    }
+    server.entry = it;
+    server.cold_until = now + it.cold_for;
+    next.emplace(it.id, std::move(server));
+  }
+  servers_ = std::move(next);
+}
+
+double Placement::LoadMs(const Server& server,
+                         bool is_model,
+                         Millis now) const {
+  double running = server.in_flight;
+  double waiting = 0;
+  if (server.has_report) {
+    const auto age = static_cast<double>((now - server.reported_at).count());
+    const auto half_life =
+        static_cast<double>(options_.report_half_life.count());
+    const double weight = std::exp2(-age / half_life);
+    // What others have there; own dispatches are known better.
+    const double others =
+        std::max(0, server.reported_running - server.in_flight_at_report);
+    running += weight * others;
+    waiting = weight * server.reported_waiting;
+  }
+  if (!is_model) {
+    return (running + waiting) * options_.ms_per_plain_request /
+           std::max(1, server.entry.slots);
+  }
+  return static_cast<double>(server.unread_tokens) /
+             options_.prompt_tokens_per_ms +
+         running * options_.ms_per_running + waiting * options_.ms_per_waiting;
+}
+
+Tokens Placement::CachedTokens(const Server& server,
+                               const ModelWork& work,
+                               Millis now) const {
+  Tokens cached = 0;
+  for (const auto& part : work.parts) {
+    const auto it = server.parts.find(part.id);
+    if (it == server.parts.end() ||
+        it->second.used_at + options_.cache_time < now) {
+      break;
+    }
+    cached += part.tokens;
+  }
+  return cached;
+}
+
+void Placement::RememberParts(Server& server,
+                              const ModelWork& work,
+                              Millis now) {
+  for (const auto& part : work.parts) {
+    const auto found = server.parts.find(part.id);
+    if (found != server.parts.end()) {
+      found->second.used_at = now;
+      server.part_order.splice(server.part_order.end(), server.part_order,
+                               found->second.order);
+      continue;
+    }
+    server.part_order.push_back(part.id);
+    server.parts.emplace(part.id,
+                         CachedPart{now, std::prev(server.part_order.end())});
+    if (server.parts.size() > options_.max_cached_parts) {
+      server.parts.erase(server.part_order.front());
+      server.part_order.pop_front();
+    }
+  }
+}
+
+std::optional<PlacementChoice> Placement::Choose(const PlacementQuery& query) {
+  struct Candidate {
+    const Server* server = nullptr;
+    double cost = 0;
+    std::uint64_t rank = 0;
+  };
+  std::vector<Candidate> candidates;
+  const bool is_model = query.work != nullptr;
+  const bool has_session = is_model && !query.work->parts.empty();
+  const auto collect = [&](bool allow_avoided) {
+    for (const auto& [id, server] : servers_) {
+      if (server.entry.service != query.service || server.entry.is_leaving ||
+          (query.tried != nullptr && query.tried->contains(id)) ||
+          (!allow_avoided && query.now < server.avoid_until)) {
+        continue;
+      }
+      candidates.push_back(
+          {&server, 0,
+           has_session ? HomeRank(query.work->parts.back().id, id) : 0});
+    }
+  };
+  collect(false);
+  if (candidates.empty()) {
+    collect(true);
+  }
+  if (candidates.empty()) {
+    return std::nullopt;
+  }
+  const auto home =
+      std::ranges::max_element(candidates, {}, &Candidate::rank)->server;
+  for (auto& it : candidates) {
+    it.cost = LoadMs(*it.server, is_model, query.now);
+    if (is_model) {
+      Tokens cached = CachedTokens(*it.server, *query.work, query.now);
+      if (has_session && it.server == home) {
+        // Other routers send the session there, too.
+        cached = 0;
+        for (const auto& part : query.work->parts) {
+          cached += part.tokens;
+        }
+      }
+      it.cost += static_cast<double>(
+                     std::max<Tokens>(0, query.work->prompt_tokens - cached)) /
+                 options_.prompt_tokens_per_ms;
+    }
+    if (it.server->entry.failure_domain != own_failure_domain_) {
+      it.cost += options_.ms_per_domain_change;
+    }
+    if (query.now < it.server->cold_until) {
+      it.cost *= 2;
+    }
+  }
+  const auto& best = *std::ranges::min_element(candidates, {}, &Candidate::cost);
+  return PlacementChoice{.server_id = best.server->entry.id,
+                         .address = best.server->entry.address,
+                         .expected_ms = best.cost,
+                         .is_home = has_session && best.server == home,
+                         .candidates = static_cast<int>(candidates.size())};
+}
+
+Placement::Ticket Placement::Begin(const std::string& server_id,
+                                   const ModelWork* work,
+                                   Millis now) {
+  Dispatch dispatch{.server_id = server_id};
+  const auto it = servers_.find(server_id);
+  if (it != servers_.end()) {
+    Server& server = it->second;
+    ++server.in_flight;
+    if (work != nullptr) {
+      dispatch.unread_tokens = std::max<Tokens>(
+          0, work->prompt_tokens - CachedTokens(server, *work, now));
+      server.unread_tokens += dispatch.unread_tokens;
+      RememberParts(server, *work, now);
+    }
+  }
+  dispatches_.emplace(++last_ticket_, std::move(dispatch));
+  return last_ticket_;
+}
+
+void Placement::OnFirstByte(Ticket ticket, Millis /*now*/) {
+  const auto found = dispatches_.find(ticket);
+  if (found == dispatches_.end()) {
+    return;
+  }
+  const auto it = servers_.find(found->second.server_id);
+  const auto tokens = std::exchange(found->second.unread_tokens, 0);
+  if (it != servers_.end()) {
+    it->second.unread_tokens =
+        std::max<Tokens>(0, it->second.unread_tokens - tokens);
+  }
+}
+
+void Placement::End(Ticket ticket, DispatchResult result, Millis now) {
+  OnFirstByte(ticket, now);
+  const auto found = dispatches_.find(ticket);
+  if (found == dispatches_.end()) {
+    return;
+  }
+  const auto it = servers_.find(found->second.server_id);
+  dispatches_.erase(found);
+  if (it == servers_.end()) {
+    return;
+  }
+  Server& server = it->second;
+  server.in_flight = std::max(0, server.in_flight - 1);
+  if (result == DispatchResult::kServed) {
+    server.failures = 0;
+    server.avoidance = Millis{0};
+    return;
+  }
+  const bool is_failure = result == DispatchResult::kFailed ||
+                          result == DispatchResult::kUnreachable;
+  if (!is_failure) {
+    return;
+  }
+  ++server.failures;
+  if (result == DispatchResult::kUnreachable ||
+      server.failures >= options_.failures_to_avoid) {
+    server.avoidance =
+        server.avoidance.count() == 0
+            ? options_.first_avoidance
+            : std::min(server.avoidance * 2, options_.longest_avoidance);
+    server.avoid_until = now + server.avoidance;
+  }
+}
+
+void Placement::OnLoad(const std::string& server_id,
+                       int running,
+                       int waiting,
+                       Millis now) {
+  const auto it = servers_.find(server_id);
+  if (it == servers_.end()) {
+    return;
+  }
+  it->second.reported_running = running;
+  it->second.reported_waiting = waiting;
+  it->second.in_flight_at_report = it->second.in_flight;
+  it->second.reported_at = now;
+  it->second.has_report = true;
+}
+
+bool Placement::HasServer(std::string_view service) const {
+  return std::ranges::any_of(servers_, [&](const auto& it) {
+    return it.second.entry.service == service && !it.second.entry.is_leaving;
+  });
+}
+
+bool Placement::IsLeavingOrGone(const std::string& server_id) const {
+  const auto it = servers_.find(server_id);
+  return it == servers_.end() || it->second.entry.is_leaving;
+}
+
+std::vector<ServerView> Placement::View(Millis now) const {
+  std::vector<ServerView> view;
+  for (const auto& [id, server] : servers_) {
+    view.push_back({.entry = server.entry,
+                    .in_flight = server.in_flight,
+                    .load_ms = LoadMs(server, true, now),
+                    .is_avoided = now < server.avoid_until});
+  }
+  return view;
+}
+
+}  // namespace crocuslatch
--- /dev/null
+++ b/core/placement.h
@@ -0,0 +1,165 @@
+#ifndef CORE_PLACEMENT_H_
+#define CORE_PLACEMENT_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <list>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "core/backend_entry.h"
+#include "core/model_work.h"
+#include "src/types.h"
+
+// Defines the choice of a backend server for one dispatch.
+//
+// Load pattern: many routers, each of which sees a part of the requests, send
+// sessions with long shared prompts to engines whose caches hold few of them,
+// while reports of load are late. A session goes to the server that it has by
+// rendezvous hash, where its prompt is cached, until that server's queue costs
+// more than reading the prompt elsewhere.
+
+namespace crocuslatch {
+
+struct PlacementOptions {
+  // Prompt tokens that an engine reads in a millisecond; the engines of both
+  // users read 37 and 48.
+  double prompt_tokens_per_ms = 40;
+  // Delay that each running request of an engine causes to another one's
+  // first token: its steps get longer (0.12 ms for each slot and step).
+  double ms_per_running = 4;
+  // Delay caused by a request that waits at an engine.
+  double ms_per_waiting = 60;
+  // Work of one request of a plain service.
+  double ms_per_plain_request = 30;
+  // Age at which a report of load counts half.
+  Millis report_half_life{1000};
+  // Cost of leaving the own failure domain; bytes between domains are priced.
+  double ms_per_domain_change = 2;
+  // Records of cached prompt parts kept for each server, and how long one
+  // counts after its last use.
+  std::size_t max_cached_parts = 256;
+  Millis cache_time{9000};
+  // Consecutive failures after which a server is avoided, and for how long.
+  int failures_to_avoid = 2;
+  Millis first_avoidance{1000};
+  Millis longest_avoidance{8000};
+};
+
+struct PlacementQuery {
+  std::string_view service;
+  // Null for a plain request.
+  const ModelWork* work = nullptr;
+  // Servers that this request was sent to before.
+  const std::set<std::string>* tried = nullptr;
+  Millis now{0};
+};
+
+struct PlacementChoice {
+  std::string server_id;
+  std::string address;
+  // Expected delay of the first token or the answer, milliseconds.
+  double expected_ms = 0;
+  bool is_home = false;
+  // Servers that could be chosen.
+  int candidates = 0;
+};
+
+// How a dispatch ended, as far as it tells about the server.
+enum class DispatchResult {
+  kServed,
+  // The server refused it without running it.
+  kRefused,
+  // Broken connection, silence, unusable answer or a failure of the server.
+  kFailed,
+  // No connection to the server.
+  kUnreachable,
+  // Ended for a reason of the caller or the router.
+  kNeutral,
+};
+
+struct ServerView {
+  BackendEntry entry;
+  int in_flight = 0;
+  double load_ms = 0;
+  bool is_avoided = false;
+};
+
+class Placement {
+ public:
+  Placement(PlacementOptions options, std::string own_failure_domain);
+
+  // The servers that are registered now. A server that is missing is gone.
+  void SetServers(const std::vector<BackendEntry>& entries, Millis now);
+
+  // nullopt if the service has no usable server left for the request.
+  std::optional<PlacementChoice> Choose(const PlacementQuery& query);
+
+  using Ticket = std::uint64_t;
+  // A dispatch begins. Every ticket is ended by End.
+  Ticket Begin(const std::string& server_id,
+               const ModelWork* work,
+               Millis now);
+  // The server has begun to answer: its prompt is read.
+  void OnFirstByte(Ticket ticket, Millis now);
+  void End(Ticket ticket, DispatchResult result, Millis now);
+  void OnLoad(const std::string& server_id,
+              int running,
+              int waiting,
+              Millis now);
+
+  bool HasServer(std::string_view service) const;
+  bool IsLeavingOrGone(const std::string& server_id) const;
+  std::vector<ServerView> View(Millis now) const;
+
+ private:
+  struct CachedPart {
+    Millis used_at{0};
+    std::list<std::string>::iterator order;
+  };
+  struct Server {
+    BackendEntry entry;
+    int in_flight = 0;
+    // Prompt tokens of own dispatches that have not begun to answer.
+    Tokens unread_tokens = 0;
+    // Last report and the own dispatches in flight when it came.
+    int reported_running = 0;
+    int reported_waiting = 0;
+    int in_flight_at_report = 0;
+    Millis reported_at{0};
+    bool has_report = false;
+    int failures = 0;
+    Millis avoidance{0};
+    Millis avoid_until{0};
+    Millis cold_until{0};
+    // Parts that own requests had there, least recently used first.
+    std::list<std::string> part_order;
+    std::unordered_map<std::string, CachedPart> parts;
+  };
+  struct Dispatch {
+    std::string server_id;
+    Tokens unread_tokens = 0;
+  };
+
+  double LoadMs(const Server& server, bool is_model, Millis now) const;
+  Tokens CachedTokens(const Server& server,
+                      const ModelWork& work,
+                      Millis now) const;
+  void RememberParts(Server& server, const ModelWork& work, Millis now);
+
+  const PlacementOptions options_;
+  const std::string own_failure_domain_;
+  std::map<std::string, Server> servers_;
+  std::unordered_map<Ticket, Dispatch> dispatches_;
+  Ticket last_ticket_ = 0;
+};
+
+}  // namespace crocuslatch
+
+#endif  // CORE_PLACEMENT_H_
--- /dev/null
+++ b/io/http_client.cc
@@ -0,0 +1,560 @@
+#include "io/http_client.h"
+
+#include <fmt/format.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <QHostAddress>
+#include <QTcpSocket>
+#include <QTimer>
+#include <algorithm>
+#include <cerrno>
+#include <charconv>
+#include <map>
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "io/http_parser.h"
+#include "src/ip_endpoint.h"
+
+namespace crocuslatch {
+namespace {
+
+// After a pause of the whole process a timer is due before the answers that
+// arrived meanwhile are read. They get this long.
+constexpr Millis kTimeoutGrace{20};
+
+// The platform's values are at most 1 MB; a longer whole answer is a fault.
+constexpr std::size_t kMaxWholeBytes = 32 << 20;
+
+// Idle connections kept for one server; more are closed when they get idle.
+constexpr std::size_t kMaxIdlePerServer = 64;
+
+// Bytes read by the kernel and not yet by us that a slow reader leaves.
+constexpr qint64 kReadBufferBytes = 1 << 20;
+
+struct Target {
+  std::string authority;
+  std::string path;
+};
+
+Target SplitUrl(std::string_view url) {
+  constexpr std::string_view kScheme = "http://";
+  if (url.starts_with(kScheme)) {
+    url.remove_prefix(kScheme.size());
+  }
+  const auto slash = std::min(url.find('/'), url.size());
+  Target target{std::string(url.substr(0, slash)),
+                std::string(url.substr(slash))};
+  if (target.path.empty()) {
+    target.path.push_back('/');
+  }
+  return target;
+}
+
+std::string Serialize(const HttpRequest& request, const Target& target) {
+  std::string bytes = request.method;
+  bytes.append(" ").append(target.path).append(" HTTP/1.1\r\n");
+  const auto add = [&bytes](std::string_view name, std::string_view value) {
+    bytes.append(name).append(": ").append(value).append("\r\n");
+  };
+  if (FindHeader(request.headers, "Host").empty()) {
+    add("Host", target.authority);
+  }
+  for (const auto& [name, value] : request.headers) {
+    add(name, value);
+  }
+  const bool has_body = !request.body.empty() || request.method == "POST" ||
+                        request.method == "PUT" || request.method == "PATCH";
+  if (has_body) {
+    add("Content-Length", std::to_string(request.body.size()));
+  }
+  bytes += "\r\n";
+  bytes += request.body;
+  return bytes;
+}
+
+// The idle time that a Keep-Alive header allows, if it says so.
+std::optional<Millis> AnnouncedIdle(const HttpHeaders& headers) {
+  constexpr std::string_view kTimeout = "timeout=";
+  const auto value = FindHeader(headers, "Keep-Alive");
+  const auto at = value.find(kTimeout);
+  if (at == std::string_view::npos) {
+    return std::nullopt;
+  }
+  int seconds = 0;
+  const auto digits = value.substr(at + kTimeout.size());
+  const auto [rest, ec] =
+      std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+  if (ec != std::errc() || seconds < 0) {
+    return std::nullopt;
+  }
+  return std::chrono::seconds(seconds);
+}
+
+Millis SteadyNow() {
+  return std::chrono::duration_cast<Millis>(
+      std::chrono::steady_clock::now().time_since_epoch());
+}
+
+}  // namespace
+
+std::string_view ToString(HttpEnd end) {
+  switch (end) {
+    case HttpEnd::kComplete:
+      return "complete";
+    case HttpEnd::kNotSent:
+      return "not_sent";
+    case HttpEnd::kBroken:
+      return "broken";
+    case HttpEnd::kTimedOut:
+      return "timed_out";
+    case HttpEnd::kCancelled:
+      return "cancelled";
+  }
+  return "broken";
+}
+
+struct HttpCall::State {
+  // Whoever runs a hook holds a copy, since the hook may end the call. Null
+  // after the end: the hooks usually own whoever owns the call.
+  std::shared_ptr<const HttpHooks> hooks;
+  // Null before the start and after the end.
+  HttpClient::Connection* connection = nullptr;
+  bool is_new_connection = true;
+};
+
+struct HttpClient::Pool {
+  explicit Pool(const HttpClientOptions& options) : options(options) {}
+  ~Pool();
+
+  Connection* TakeIdle(const std::string& authority);
+  void KeepIdle(Connection* it);
+  void DropIdle(const std::string& authority);
+  void Forget(Connection* it);
+
+  const HttpClientOptions options;
+  // Receiver of calls that are made later.
+  QObject context;
+  // The most recently used one is last.
+  std::map<std::string, std::vector<Connection*>> idle;
+  std::set<Connection*> all;
+};
+
+// One connection to a server; serves one request at a time.
+class HttpClient::Connection : public QObject {
+ public:
+  Connection(Pool* pool, std::string authority)
+      : pool_(pool), authority_(std::move(authority)) {
+    timer_.setSingleShot(true);
+    socket_.setReadBufferSize(kReadBufferBytes);
+    connect(&timer_, &QTimer::timeout, this, [this] { OnTimer(); });
+    connect(&socket_, &QTcpSocket::connected, this, [this] { OnConnected(); });
+    connect(&socket_, &QTcpSocket::readyRead, this, [this] { OnBytes(); });
+    connect(&socket_, &QTcpSocket::errorOccurred, this,
+            [this](auto error) { OnError(error); });
+  }
+
+  const std::string& authority() const { return authority_; }
+
+  void Start(const HttpRequest& request,
+             const Target& target,
+             std::shared_ptr<HttpCall::State> call) {
+    call_ = std::move(call);
+    call_->connection = this;
+    bytes_ = Serialize(request, target);
+    first_byte_timeout_ = request.first_byte_timeout;
+    stall_timeout_ = request.stall_timeout;
+    is_reusable_ = true;
+    is_sent_ = false;
+    has_no_body_ = request.method == "HEAD";
+    MakeParser();
+    if (socket_.state() == QAbstractSocket::ConnectedState) {
+      WriteRequest();
+      return;
+    }
+    Arm(request.connect_timeout);
+    const auto endpoint = ParseIpEndpoint(authority_);
+    if (!endpoint) {
+      QTimer::singleShot(0, this, [this] { Finish(HttpEnd::kNotSent); });
+      return;
+    }
+    socket_.connectToHost(
+        QHostAddress(QString::fromStdString(endpoint->address)),
+        endpoint->port);
+  }
+
+  // The hook runs later, so that a caller may cancel from anywhere.
+  void Cancel() {
+    auto* const context = &pool_->context;
+    End(HttpEnd::kCancelled, [context](std::function<void()> hook) {
+      QMetaObject::invokeMethod(context, std::move(hook), Qt::QueuedConnection);
+    });
+  }
+
+  // Detaches the call without calling its hooks.
+  void Detach() {
+    if (call_) {
+      call_->connection = nullptr;
+      call_.reset();
+    }
+  }
+
+  // True if nothing has arrived on the idle connection and its idle time is
+  // not over. Asks the kernel, since an event may wait in the loop.
+  bool IsFit() const {
+    if (socket_.state() != QAbstractSocket::ConnectedState ||
+        socket_.bytesAvailable() > 0 || SteadyNow() >= idle_until_) {
+      return false;
+    }
+    char byte = 0;
+    const auto n = ::recv(static_cast<int>(socket_.socketDescriptor()), &byte,
+                          1, MSG_PEEK | MSG_DONTWAIT);
+    return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  }
+
+  void CloseIdle() { Discard(); }
+
+ private:
+  // Makes the parser for the next response on this connection.
+  void MakeParser() {
+    is_skipping_ = false;
+    parser_ = std::make_unique<HttpResponseParser>(
+        has_no_body_,
+        HttpResponseHooks{
+            .on_head = [this](const auto& head) { OnHead(head); },
+            .on_body =
+                [this](std::string_view bytes) {
+                  if (call_ && !is_skipping_ && call_->hooks->on_data) {
+                    const auto hooks = call_->hooks;
+                    hooks->on_data(bytes);
+                  }
+                }});
+  }
+
+  void OnConnected() {
+    const int fd = static_cast<int>(socket_.socketDescriptor());
+    const int on = 1;
+    ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    const auto timeout = static_cast<unsigned int>(
+        pool_->options.unacknowledged_timeout.count());
+    ::setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof timeout);
+    if (call_) {
+      WriteRequest();
+    }
+  }
+
+  void WriteRequest() {
+    is_sent_ = true;
+    has_answer_ = false;
+    Arm(first_byte_timeout_);
+    socket_.write(bytes_.data(), static_cast<qint64>(bytes_.size()));
+    bytes_.clear();
+    socket_.flush();
+  }
+
+  void Arm(Millis timeout) {
+    is_in_grace_ = false;
+    last_activity_ = SteadyNow();
+    timeout_ = timeout;
+    timer_.start(timeout);
+  }
+
+  void OnTimer() {
+    const Millis silent = SteadyNow() - last_activity_;
+    if (silent < timeout_) {
+      timer_.start(timeout_ - silent);
+      return;
+    }
+    if (!is_in_grace_) {
+      is_in_grace_ = true;
+      timer_.start(kTimeoutGrace);
+      return;
+    }
+    if (!call_) {
+      Discard();
+      return;
+    }
+    Finish(is_sent_ ? HttpEnd::kTimedOut : HttpEnd::kNotSent);
+  }
+
+  void OnHead(const HttpResponseHead& head) {
+    if (!call_) {
+      return;
+    }
+    const auto hooks = call_->hooks;
+    if (hooks->accepts && !hooks->accepts(head.status, head.headers)) {
+      is_skipping_ = true;
+      is_reusable_ = false;
+      return;
+    }
+    is_reusable_ = is_reusable_ && head.keep_alive;
+    idle_time_ = pool_->options.longest_idle;
+    if (const auto announced = AnnouncedIdle(head.headers)) {
+      idle_time_ =
+          std::min(idle_time_, *announced - pool_->options.idle_margin);
+    }
+    if (hooks->on_headers) {
+      hooks->on_headers(head.status, head.headers);
+    }
+  }
+
+  void OnBytes() {
+    if (!call_) {
+      // Nothing was asked for: the connection is not trusted any more.
+      Discard();
+      return;
+    }
+    last_activity_ = SteadyNow();
+    is_in_grace_ = false;
+    if (!has_answer_) {
+      has_answer_ = true;
+      Arm(stall_timeout_);
+    }
+    const auto bytes = socket_.readAll();
+    buffer_.append(bytes.data(), static_cast<std::size_t>(bytes.size()));
+    ParseBuffer();
+  }
+
+  void ParseBuffer() {
+    while (call_) {
+      const auto result = parser_->Parse(buffer_);
+      buffer_.erase(0, result.used);
+      if (result.state == ParseState::kNeedsMore) {
+        return;
+      }
+      if (result.state != ParseState::kDone) {
+        Finish(HttpEnd::kBroken);
+        return;
+      }
+      if (!is_skipping_) {
+        Finish(HttpEnd::kComplete);
+        return;
+      }
+      MakeParser();
+      if (buffer_.empty()) {
+        return;
+      }
+    }
+  }
+
+  void OnError(QAbstractSocket::SocketError error) {
+    if (call_ && socket_.bytesAvailable() > 0) {
+      OnBytes();
+    }
+    if (!call_) {
+      Discard();
+      return;
+    }
+    if (!is_sent_) {
+      Finish(HttpEnd::kNotSent);
+      return;
+    }
+    const bool in_order = error == QAbstractSocket::RemoteHostClosedError;
+    is_reusable_ = false;
+    if (in_order && !is_skipping_ && parser_->FinishAtClose()) {
+      Finish(HttpEnd::kComplete);
+    } else {
+      Finish(HttpEnd::kBroken);
+    }
+  }
+
+  void Finish(HttpEnd end) {
+    End(end, [](const std::function<void()>& hook) { hook(); });
+  }
+
+  // Ends the call; keeps the connection only if all of both messages passed.
+  void End(HttpEnd end,
+           const std::function<void(std::function<void()>)>& run_hook) {
+    if (!call_) {
+      return;
+    }
+    const auto call = std::exchange(call_, nullptr);
+    call->connection = nullptr;
+    const auto hooks = std::exchange(call->hooks, nullptr);
+    timer_.stop();
+    const bool keep = end == HttpEnd::kComplete && is_reusable_ &&
+                      buffer_.empty() && socket_.bytesToWrite() == 0 &&
+                      idle_time_.count() > 0 &&
+                      socket_.state() == QAbstractSocket::ConnectedState;
+    if (keep) {
+      idle_until_ = SteadyNow() + idle_time_;
+      Arm(idle_time_);
+      pool_->KeepIdle(this);
+    } else {
+      Discard();
+    }
+    if (end == HttpEnd::kTimedOut) {
+      // Whatever lost track of this connection may have lost the others.
+      pool_->DropIdle(authority_);
+    }
+    if (hooks->on_end) {
+      run_hook([hooks, end] { hooks->on_end(end); });
+    }
+  }
+
+  // Closes at once. The object goes later, since it may be in use up the
+  // stack.
+  void Discard() {
+    timer_.stop();
+    pool_->Forget(this);
+    disconnect(&socket_, nullptr, this, nullptr);
+    socket_.abort();
+    deleteLater();
+  }
+
+  Pool* pool_;
+  const std::string authority_;
+  QTcpSocket socket_;
+  QTimer timer_;
+  std::shared_ptr<HttpCall::State> call_;
+  std::unique_ptr<HttpResponseParser> parser_;
+  std::string bytes_;
+  std::string buffer_;
+  Millis first_byte_timeout_{0};
+  Millis stall_timeout_{0};
+  Millis timeout_{0};
+  Millis last_activity_{0};
+  Millis idle_time_{0};
+  Millis idle_until_{0};
+  bool is_sent_ = false;
+  bool has_answer_ = false;
+  bool is_reusable_ = true;
+  bool is_skipping_ = false;
+  bool is_in_grace_ = false;
+  bool has_no_body_ = false;
+};
+
+HttpClient::Pool::~Pool() {
+  for (auto* it : std::set(std::move(all))) {
+    it->Detach();
+    delete it;
+  }
+}
+
+HttpClient::Connection* HttpClient::Pool::TakeIdle(
+    const std::string& authority) {
+  // Discarding a connection removes it from the list, and the last one the
+  // list, so the list is looked up anew each time.
+  for (auto found = idle.find(authority); found != idle.end();
+       found = idle.find(authority)) {
+    auto* it = found->second.back();
+    if (it->IsFit()) {
+      found->second.pop_back();
+      if (found->second.empty()) {
+        idle.erase(found);
+      }
+      return it;
+    }
+    it->CloseIdle();
+  }
+  return nullptr;
+}
+
+void HttpClient::Pool::KeepIdle(Connection* it) {
+  auto& list = idle[it->authority()];
+  list.push_back(it);
+  if (list.size() > kMaxIdlePerServer) {
+    list.front()->CloseIdle();
+  }
+}
+
+void HttpClient::Pool::DropIdle(const std::string& authority) {
+  for (auto found = idle.find(authority); found != idle.end();
+       found = idle.find(authority)) {
+    found->second.back()->CloseIdle();
+  }
+}
+
+void HttpClient::Pool::Forget(Connection* it) {
+  all.erase(it);
+  const auto found = idle.find(it->authority());
+  if (found != idle.end()) {
+    std::erase(found->second, it);
+    if (found->second.empty()) {
+      idle.erase(found);
+    }
+  }
+}
+
+void HttpCall::Cancel() {
+  if (state_ && state_->connection != nullptr) {
+    state_->connection->Cancel();
+  }
+}
+
+bool HttpCall::is_on_new_connection() const {
+  return state_ && state_->is_new_connection;
+}
+
+HttpClient::HttpClient(const HttpClientOptions& options)
+    : pool_(std::make_unique<Pool>(options)) {}
+
+HttpClient::~HttpClient() = default;
+
+HttpCall HttpClient::Send(const HttpRequest& request, HttpHooks hooks) {
+  const auto target = SplitUrl(request.url);
+  HttpCall call;
+  call.state_ = std::make_shared<HttpCall::State>();
+  call.state_->hooks = std::make_shared<const HttpHooks>(std::move(hooks));
+  auto* connection = pool_->TakeIdle(target.authority);
+  call.state_->is_new_connection = connection == nullptr;
+  if (connection == nullptr) {
+    connection = new Connection(pool_.get(), target.authority);
+    pool_->all.insert(connection);
+  }
+  connection->Start(request, target, call.state_);
+  return call;
+}
+
+HttpCall HttpClient::SendWhole(const HttpRequest& request,
+                               WholeCallback callback) {
+  struct Answer {
+    int status = 0;
+    HttpHeaders headers;
+    std::string body;
+    HttpCall call;
+    bool is_too_long = false;
+  };
+  const auto answer = std::make_shared<Answer>();
+  HttpHooks hooks;
+  hooks.on_headers = [answer](int status, const HttpHeaders& headers) {
+    answer->status = status;
+    answer->headers = headers;
+  };
+  hooks.on_data = [answer](std::string_view data) {
+    if (answer->body.size() + data.size() > kMaxWholeBytes) {
+      answer->is_too_long = true;
+      answer->call.Cancel();
+      return;
+    }
+    answer->body += data;
+  };
+  hooks.on_end = [answer, callback = std::move(callback)](HttpEnd end) {
+    if (answer->is_too_long) {
+      end = HttpEnd::kBroken;
+    }
+    const bool whole = end == HttpEnd::kComplete;
+    callback(end, whole ? answer->status : 0, answer->headers, answer->body);
+    // The answer holds the call, and the call holds these hooks.
+    answer->call = {};
+  };
+  answer->call = Send(request, std::move(hooks));
+  return answer->call;
+}
+
+void HttpClient::DropIdle() {
+  while (!pool_->idle.empty()) {
+    // A copy, since the entry goes with its last connection.
+    pool_->DropIdle(std::string(pool_->idle.begin()->first));
+  }
+}
+
+std::size_t HttpClient::open_connections() const {
+  return pool_->all.size();
+}
+
+}  // namespace crocuslatch
--- a/src/http_front.h
+++ b/io/http_front.h
@@ -1,15 +1,15 @@
-#ifndef SRC_HTTP_FRONT_H_
-#define SRC_HTTP_FRONT_H_
+#ifndef IO_HTTP_FRONT_H_
+#define IO_HTTP_FRONT_H_
 
 #include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
 
+#include "io/http_message.h"
 #include "src/error.h"
-#include "src/http_client.h"
 
-// Defines the HTTP server used for callers and for administration.
+// Defines the HTTP/1.1 server used for callers and for administration.
 
 namespace crocuslatch {
 
@@ -19,12 +19,15 @@
   std::string query;
   HttpHeaders headers;
   std::string body;
+  // Path and query as sent.
+  std::string target;
 };
 
 // The answer to one request; copies refer to the same answer. All calls must
 // come from the server's thread. Calls after the caller left do nothing.
 class HttpReply {
  public:
+  // A Connection header among `headers` is not allowed; see CloseAfter.
   void SendWhole(int status, const HttpHeaders& headers, std::string_view body);
   void SendError(const RequestError& error);
 
@@ -35,6 +38,9 @@
   // Closes the connection so that the caller sees an incomplete answer.
   void Abort();
 
+  // Closes the connection in order after the answer.
+  void CloseAfter();
+
   // Called once if the caller disconnects before the answer has ended.
   void OnDisconnect(std::function<void()> hook);
   bool IsOpen() const;
@@ -47,6 +53,19 @@
 
 using HttpHandler = std::function<void(const IncomingRequest&, HttpReply)>;
 
+// What a caller may send, and how long it may take.
+struct HttpLimits {
+  std::size_t max_header_bytes = 64 << 10;
+  std::size_t max_body_bytes = 1 << 20;
+  // From the first byte of a request to the end of its headers.
+  Millis header_timeout{10000};
+  // From the first byte of a request to its last.
+  Millis request_timeout{10000};
+  // Without a request.
+  Millis idle_timeout{60000};
+  bool operator==(const HttpLimits&) const = default;
+};
+
 struct HttpFrontOptions {
   std::string address = "127.0.0.1";
   // 0 takes any free port.
@@ -67,10 +86,16 @@
   HttpFront& operator=(const HttpFront&) = delete;
 
   std::uint16_t port() const;
-  // Stops accepting connections; requests in flight go on.
+  // Holds for requests that begin later.
+  void SetLimits(const HttpLimits& limits);
+  // Stops accepting connections; requests in flight go on, and their
+  // connections and idle ones are closed in order.
   void StopListening();
+  // Answers say that their connection closes; new ones are still accepted.
+  void StopKeepingConnections();
   // Answers that have not ended.
   std::size_t open_requests() const;
+  std::size_t open_connections() const;
 
  private:
   class Server;
@@ -79,4 +104,4 @@
 
 }  // namespace crocuslatch
 
-#endif  // SRC_HTTP_FRONT_H_
+#endif  // IO_HTTP_FRONT_H_
--- /dev/null
+++ b/io/http_parser.cc
@@ -0,0 +1,244 @@
+#include "io/http_parser.h"
+
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <cstdint>
+#include <limits>
+#include <utility>
+
+namespace crocuslatch {
+namespace {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using ErrorCode = beast::error_code;
+
+// Responses of backend servers; the platform's values are at most 1 MB in
+// base64, and a range answer about 1 MB of items.
+constexpr std::size_t kMaxResponseHeaderBytes = 64 << 10;
+constexpr int kFirstFinalStatus = 200;
+
+ParseState ToState(const ErrorCode& ec, bool done) {
+  if (!ec) {
+    return done ? ParseState::kDone : ParseState::kNeedsMore;
+  }
+  if (ec == http::error::need_more) {
+    return ParseState::kNeedsMore;
+  }
+  if (ec == http::error::header_limit) {
+    return ParseState::kHeaderTooLarge;
+  }
+  return ec == http::error::body_limit ? ParseState::kBodyTooLarge
+                                       : ParseState::kMalformed;
+}
+
+std::string ToString(beast::string_view text) {
+  return {text.data(), text.size()};
+}
+
+// Feeds the library's parser, which stops at the end of one message.
+template <typename Parser>
+ParseResult Put(Parser& parser, std::string_view bytes) {
+  ParseResult result;
+  ErrorCode ec;
+  while (!ec && !parser.is_done() && result.used < bytes.size()) {
+    const auto rest = bytes.substr(result.used);
+    const auto n =
+        parser.put(boost::asio::const_buffer(rest.data(), rest.size()), ec);
+    result.used += n;
+    if (n == 0) {
+      break;
+    }
+  }
+  result.state = ToState(ec, parser.is_done());
+  return result;
+}
+
+// True if a Transfer-Encoding says anything but one "chunked". The library
+// reads the body of such a request as empty.
+bool HasOtherCoding(const HttpHeaders& headers) {
+  return std::ranges::any_of(headers, [](const auto& it) {
+    return EqualsIgnoringCase(it.first, "Transfer-Encoding") &&
+           !EqualsIgnoringCase(it.second, "chunked");
+  });
+}
+
+}  // namespace
+
+class HttpRequestParser::Impl : public http::basic_parser<true> {
+ public:
+  Impl(std::size_t max_header_bytes, std::size_t max_body_bytes) {
+    header_limit(static_cast<std::uint32_t>(max_header_bytes));
+    body_limit(max_body_bytes);
+    eager(true);
+  }
+
+  HttpRequestHead head;
+  std::string body;
+
+ private:
+  void on_request_impl(http::verb,
+                       beast::string_view method,
+                       beast::string_view target,
+                       int,
+                       ErrorCode&) override {
+    head.method = ToString(method);
+    head.target = ToString(target);
+  }
+  void on_response_impl(int, beast::string_view, int, ErrorCode&) override {}
+  void on_field_impl(http::field,
+                     beast::string_view name,
+                     beast::string_view value,
+                     ErrorCode&) override {
+    head.headers.emplace_back(ToString(name), ToString(value));
+  }
+  void on_header_impl(ErrorCode& ec) override {
+    head.keep_alive = keep_alive();
+    head.expects_continue =
+        EqualsIgnoringCase(FindHeader(head.headers, "Expect"), "100-continue");
+    if (HasOtherCoding(head.headers)) {
+      ec = http::error::bad_transfer_encoding;
+    }
+  }
+  void on_body_init_impl(const boost::optional<std::uint64_t>& size,
+                         ErrorCode&) override {
+    if (size) {
+      body.reserve(static_cast<std::size_t>(*size));
+    }
+  }
+  std::size_t on_body_impl(beast::string_view bytes, ErrorCode&) override {
+    body.append(bytes.data(), bytes.size());
+    return bytes.size();
+  }
+  void on_chunk_header_impl(std::uint64_t,
+                            beast::string_view,
+                            ErrorCode&) override {}
+  std::size_t on_chunk_body_impl(std::uint64_t,
+                                 beast::string_view bytes,
+                                 ErrorCode&) override {
+    body.append(bytes.data(), bytes.size());
+    return bytes.size();
+  }
+  void on_finish_impl(ErrorCode&) override {}
+};
+
+HttpRequestParser::HttpRequestParser(std::size_t max_header_bytes,
+                                     std::size_t max_body_bytes)
+    : impl_(std::make_unique<Impl>(max_header_bytes, max_body_bytes)) {}
+
+HttpRequestParser::~HttpRequestParser() = default;
+
+ParseResult HttpRequestParser::Parse(std::string_view bytes) {
+  return Put(*impl_, bytes);
+}
+
+bool HttpRequestParser::is_head_done() const {
+  return impl_->is_header_done();
+}
+
+const HttpRequestHead& HttpRequestParser::head() const {
+  return impl_->head;
+}
+
+std::string HttpRequestParser::TakeBody() {
+  return std::move(impl_->body);
+}
+
+class HttpResponseParser::Impl : public http::basic_parser<false> {
+ public:
+  Impl(bool has_no_body, HttpResponseHooks* hooks) : hooks_(hooks) {
+    header_limit(kMaxResponseHeaderBytes);
+    // The library takes "no limit" for a limit of 0 beside a length.
+    body_limit(std::numeric_limits<std::uint64_t>::max());
+    eager(true);
+    skip(has_no_body);
+  }
+
+  bool is_interim() const { return head_.status < kFirstFinalStatus; }
+
+ private:
+  void on_request_impl(http::verb,
+                       beast::string_view,
+                       beast::string_view,
+                       int,
+                       ErrorCode&) override {}
+  void on_response_impl(int status,
+                        beast::string_view,
+                        int,
+                        ErrorCode&) override {
+    head_.status = status;
+  }
+  void on_field_impl(http::field,
+                     beast::string_view name,
+                     beast::string_view value,
+                     ErrorCode&) override {
+    head_.headers.emplace_back(ToString(name), ToString(value));
+  }
+  void on_header_impl(ErrorCode& ec) override {
+    if (HasOtherCoding(head_.headers)) {
+      ec = http::error::bad_transfer_encoding;
+      return;
+    }
+    head_.keep_alive = keep_alive();
+    head_.ends_with_connection = need_eof();
+    if (!is_interim()) {
+      hooks_->on_head(head_);
+    }
+  }
+  void on_body_init_impl(const boost::optional<std::uint64_t>&,
+                         ErrorCode&) override {}
+  std::size_t on_body_impl(beast::string_view bytes, ErrorCode&) override {
+    hooks_->on_body({bytes.data(), bytes.size()});
+    return bytes.size();
+  }
+  void on_chunk_header_impl(std::uint64_t,
+                            beast::string_view,
+                            ErrorCode&) override {}
+  std::size_t on_chunk_body_impl(std::uint64_t,
+                                 beast::string_view bytes,
+                                 ErrorCode&) override {
+    hooks_->on_body({bytes.data(), bytes.size()});
+    return bytes.size();
+  }
+  void on_finish_impl(ErrorCode&) override {}
+
+  HttpResponseHooks* hooks_;
+  HttpResponseHead head_;
+};
+
+HttpResponseParser::HttpResponseParser(bool has_no_body,
+                                       HttpResponseHooks hooks)
+    : has_no_body_(has_no_body), hooks_(std::move(hooks)) {
+  impl_ = std::make_unique<Impl>(has_no_body_, &hooks_);
+}
+
+HttpResponseParser::~HttpResponseParser() = default;
+
+ParseResult HttpResponseParser::Parse(std::string_view bytes) {
+  ParseResult total;
+  while (true) {
+    const auto result = Put(*impl_, bytes.substr(total.used));
+    total.used += result.used;
+    total.state = result.state;
+    if (result.state != ParseState::kDone || !impl_->is_interim()) {
+      return total;
+    }
+    impl_ = std::make_unique<Impl>(has_no_body_, &hooks_);
+  }
+}
+
+bool HttpResponseParser::FinishAtClose() {
+  if (!impl_->is_header_done() || !impl_->need_eof()) {
+    return false;
+  }
+  ErrorCode ec;
+  impl_->put_eof(ec);
+  return !ec && impl_->is_done();
+}
+
+bool HttpResponseParser::is_head_done() const {
+  return impl_->is_header_done() && !impl_->is_interim();
+}
+
+}  // namespace crocuslatch
--- /dev/null
+++ b/io/log_output.h
@@ -0,0 +1,39 @@
+#ifndef IO_LOG_OUTPUT_H_
+#define IO_LOG_OUTPUT_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string_view>
+
+// Defines the writer of log lines that never blocks its thread.
+
+namespace crocuslatch {
+
+struct LogOutputOptions {
+  int descriptor = 1;
+  // Lines beyond this are dropped and counted.
+  std::size_t max_buffered_bytes = 256 << 10;
+};
+
+// Writes in the background of the thread's event loop.
+class LogOutput {
+ public:
+  explicit LogOutput(const LogOutputOptions& options = {});
+  ~LogOutput();
+  LogOutput(const LogOutput&) = delete;
+  LogOutput& operator=(const LogOutput&) = delete;
+
+  void Write(std::string_view line);
+  // Writes what the descriptor takes without blocking.
+  void Flush();
+  std::uint64_t dropped_lines() const;
+
+ private:
+  struct Core;
+  std::unique_ptr<Core> core_;
+};
+
+}  // namespace crocuslatch
+
+#endif  // IO_LOG_OUTPUT_H_
--- a/src/admin_api.h
+++ b/src/admin_api.h
@@ -5,7 +5,7 @@
 #include <string>
 
 #include "src/config_keeper.h"
-#include "src/http_front.h"
+#include "io/http_front.h"
 
 // Defines the administration interface: the document, reports, health,
 // metrics and the planned stop. docs/design.md section 10 lists the paths.
--- a/src/daemon_main.cc
+++ b/src/daemon_main.cc
@@ -8,8 +8,12 @@
 #include <array>
 #include <boost/program_options.hpp>
 #include <cstdio>
+#include <cstdlib>
+#include <functional>
 #include <string>
 
+#include "app/front.h"
+#include "io/log_output.h"
 #include "src/error.h"
 #include "src/log.h"
 #include "src/router.h"
@@ -27,8 +31,8 @@
 // the event loop, since a signal handler may call hardly any function.
 std::array<int, 2> signal_sockets{-1, -1};
 
-void OnSignal(int /*number*/) {
-  const char byte = 1;
+void OnSignal(int number) {
+  const char byte = static_cast<char>(number);
   [[maybe_unused]] const auto n = ::write(signal_sockets[0], &byte, 1);
 }
 
@@ -44,7 +48,8 @@
   // Writing to a connection that its peer closed must not end the process.
   ::signal(SIGPIPE, SIG_IGN);
   return ::sigaction(SIGTERM, &action, nullptr) == 0 &&
-         ::sigaction(SIGINT, &action, nullptr) == 0;
+         ::sigaction(SIGINT, &action, nullptr) == 0 &&
+         ::sigaction(SIGHUP, &action, nullptr) == 0;
 }
 
 options::options_description MakeOptions() {
@@ -53,13 +58,72 @@
       "version", "print the version and exit")(
       "check", "check the settings file and exit")(
       "settings", options::value<std::string>(),
-      "settings file (TOML), see examples/crocuslatchd.toml");
+      "settings file (TOML), see examples/crocuslatchd.toml and "
+      "examples/front.toml; default: $CROCUSLATCH_SETTINGS")(
+      "mode", options::value<std::string>()->default_value("router"),
+      "router: the routers' own interface; front: forwards requests by the "
+      "platform's desired state");
   return description;
 }
 
-int RunDaemon(const std::string& path, bool check_only) {
+// Runs the event loop until `stop` has called back.
+int RunUntilStopped(const std::function<void(std::function<void()>)>& stop,
+                    const std::function<void()>& reload) {
+  QSocketNotifier notifier(signal_sockets[1], QSocketNotifier::Read);
+  QObject::connect(&notifier, &QSocketNotifier::activated, [&] {
+    std::array<char, 16> buf{};
+    const auto n = ::read(signal_sockets[1], buf.data(), buf.size());
+    for (ssize_t i = 0; i < n; ++i) {
+      if (buf[static_cast<std::size_t>(i)] == SIGHUP) {
+        reload();
+      } else {
+        stop([] { QCoreApplication::quit(); });
+      }
+    }
+  });
+  return QCoreApplication::exec();
+}
+
+int RunRouter(const std::string& path) {
   const auto settings = crocuslatch::LoadSettings(path);
+  crocuslatch::Router router(settings,
+                             [] { QCoreApplication::exit(kExitFailed); });
+  const int exit_code = RunUntilStopped(
+      [&](std::function<void()> stopped) { router.Stop(std::move(stopped)); },
+      [&] {
+        crocuslatch::LogLine(crocuslatch::LogEvent::kSettingsReloaded)
+            .Add("message", "settings take effect at the next start");
+      });
+  crocuslatch::LogLine(crocuslatch::LogEvent::kStopped)
+      .Add("host", settings.host_name);
+  return exit_code;
+}
+
+int RunFront(const std::string& path) {
+  const auto settings = crocuslatch::LoadFrontSettings(path);
+  crocuslatch::LogOutput output;
+  crocuslatch::SetLogSink(
+      [&output](std::string_view line) { output.Write(line); });
+  int exit_code = kExitOk;
+  {
+    crocuslatch::Front front(settings);
+    exit_code = RunUntilStopped(
+        [&](std::function<void()> stopped) { front.Stop(std::move(stopped)); },
+        [&] { front.Reload(path); });
+    crocuslatch::LogLine(crocuslatch::LogEvent::kStopped)
+        .Add("host", settings.host_name);
+  }
+  crocuslatch::SetLogSink({});
+  return exit_code;
+}
+
+int RunDaemon(const std::string& path, bool is_front, bool check_only) {
   if (check_only) {
+    if (is_front) {
+      crocuslatch::LoadFrontSettings(path);
+    } else {
+      crocuslatch::LoadSettings(path);
+    }
     fmt::print("{}: no errors\n", path);
     return kExitOk;
   }
@@ -67,19 +131,16 @@
     fmt::print(stderr, "crocuslatchd: cannot install signal handlers\n");
     return kExitFailed;
   }
-  crocuslatch::Router router(settings,
-                             [] { QCoreApplication::exit(kExitFailed); });
-  QSocketNotifier notifier(signal_sockets[1], QSocketNotifier::Read);
-  QObject::connect(&notifier, &QSocketNotifier::activated, [&router] {
-    std::array<char, 16> buf{};
-    [[maybe_unused]] const auto n =
-        ::read(signal_sockets[1], buf.data(), buf.size());
-    router.Stop([] { QCoreApplication::quit(); });
-  });
-  const int exit_code = QCoreApplication::exec();
-  crocuslatch::Log(crocuslatch::LogEvent::kStopped, "host {}",
-                   settings.host_name);
-  return exit_code;
+  return is_front ? RunFront(path) : RunRouter(path);
+}
+
+// The file named on the command line or, failing that, by the environment.
+std::string SettingsPath(const options::variables_map& values) {
+  if (values.count("settings") != 0) {
+    return values["settings"].as<std::string>();
+  }
+  const char* path = std::getenv("CROCUSLATCH_SETTINGS");
+  return path == nullptr ? "" : path;
 }
 
 }  // namespace
@@ -89,7 +150,12 @@
   const auto description = MakeOptions();
   options::variables_map values;
   try {
-    options::store(options::parse_command_line(argc, argv, description),
+    options::positional_options_description positional;
+    positional.add("mode", 1);
+    options::store(options::command_line_parser(argc, argv)
+                       .options(description)
+                       .positional(positional)
+                       .run(),
                    values);
   } catch (const options::error& error) {
     fmt::print(stderr, "crocuslatchd: {}; see crocuslatchd --help\n",
@@ -100,7 +166,7 @@
     std::ostringstream text;
     text << description;
     fmt::print(
-        "Usage: crocuslatchd --settings FILE [--check]\n\n{}\n"
+        "Usage: crocuslatchd [MODE] --settings FILE [--check]\n\n{}\n"
         "Exit codes: 0 stopped as planned, 1 error, 2 wrong usage.\n",
         text.str());
     return kExitOk;
@@ -109,16 +175,29 @@
     fmt::print("crocuslatchd {}\n", CROCUSLATCH_VERSION);
     return kExitOk;
   }
-  if (values.count("settings") == 0) {
+  const auto path = SettingsPath(values);
+  if (path.empty()) {
     fmt::print(stderr, "crocuslatchd: --settings is missing; see --help\n");
     return kExitUsage;
   }
+  const auto mode = values["mode"].as<std::string>();
+  if (mode != "router" && mode != "front") {
+    fmt::print(stderr,
+               "crocuslatchd: unknown mode \"{}\"; use router or front\n",
+               mode);
+    return kExitUsage;
+  }
   try {
-    return RunDaemon(values["settings"].as<std::string>(),
-                     values.count("check") != 0);
+    return RunDaemon(path, mode == "front", values.count("check") != 0);
+  } catch (const crocuslatch::SettingsError& error) {
+    crocuslatch::LogLine(crocuslatch::LogEvent::kSettingsRejected)
+        .Add("message", error.what())
+        .Add("remedy", error.remedy());
+    return kExitFailed;
   } catch (const crocuslatch::UserError& error) {
-    crocuslatch::Log(crocuslatch::LogEvent::kSettingsRejected, "{}; {}",
-                     error.what(), error.remedy());
+    crocuslatch::LogLine(crocuslatch::LogEvent::kListenFailed)
+        .Add("message", error.what())
+        .Add("remedy", error.remedy());
     return kExitFailed;
   }
 }
--- a/src/host_list.h
+++ b/src/host_list.h
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "src/event_loop.h"
-#include "src/http_client.h"
+#include "io/http_client.h"
 
 // Defines the platform's list of hosts and the poller that reads it.
 
--- a/src/http_store.h
+++ b/src/http_store.h
@@ -4,7 +4,7 @@
 #include <string>
 
 #include "src/event_loop.h"
-#include "src/http_client.h"
+#include "io/http_client.h"
 #include "src/store.h"
 
 // Defines the store port over the platform's HTTP protocol (docs/design.md,
--- a/src/load_generator.cc
+++ b/src/load_generator.cc
@@ -14,7 +14,7 @@
 #include <memory>
 #include <random>
 
-#include "src/http_client.h"
+#include "io/http_client.h"
 #include "src/model_request.h"
 
 namespace crocuslatch {
--- a/src/load_poller.h
+++ b/src/load_poller.h
@@ -6,7 +6,7 @@
 
 #include "src/backend_table.h"
 #include "src/event_loop.h"
-#include "src/http_client.h"
+#include "io/http_client.h"
 
 // Defines the poller of the load reports and cache events of the backend
 // servers that this router uses.
--- a/src/log.h
+++ b/src/log.h
@@ -3,13 +3,17 @@
 
 #include <fmt/format.h>
 
+#include <concepts>
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <string_view>
 #include <vector>
 
-// Defines the numbered log events and the function that writes them to
-// standard error. docs/events.md is the catalogue; a test compares the two.
+#include "src/types.h"
+
+// Defines the numbered log events and the lines that carry them, one JSON
+// object each. docs/events.md is the catalogue; a test compares the two.
 
 namespace crocuslatch {
 
@@ -25,16 +29,22 @@
   kInvariantBroken = 103,
   kSettingsRejected = 104,
   kListenFailed = 105,
+  kSettingsReloaded = 106,
+  kLogLinesDropped = 107,
+  kReadinessChanged = 108,
   kDocumentInForce = 200,
   kDocumentRejected = 201,
   kDocumentConflict = 202,
   kDocumentFromPeer = 203,
+  kDesiredStateInForce = 204,
+  kDesiredStateRejected = 205,
   kShardConflict = 300,
   kShardUnreadable = 301,
   kShardSegmentSealed = 302,
   kHolderFrozen = 303,
   kBillAboveReservation = 304,
   kExchangeRejected = 305,
+  kGrantChanged = 306,
   kStoreUnavailable = 400,
   kStoreRecovered = 401,
   kStoreWriteUncertain = 402,
@@ -45,11 +55,17 @@
   kRequestOutcomeUnknown = 601,
   kStreamResumed = 602,
   kBadInput = 603,
+  kRequestArrived = 604,
+  kRequestDispatched = 605,
+  kDispatchEnded = 606,
+  kRequestEnded = 607,
   kBackendEjected = 700,
   kBackendReadmitted = 701,
   kBackendLeaving = 702,
   kBackendStalled = 703,
   kHostListUnavailable = 704,
+  kServersChanged = 705,
+  kServerAvoided = 706,
 };
 
 struct LogEventInfo {
@@ -61,7 +77,42 @@
 // Every event in ascending order.
 const std::vector<LogEventInfo>& LogCatalogue();
 
-// Writes one line: time, level, event number, event name, text.
+// Receives whole lines without their line end. Without a sink lines go to
+// standard output. Not thread-safe: set it before other threads start.
+void SetLogSink(std::function<void(std::string_view line)> sink);
+
+// One line with its fields; written when the object is destroyed.
+class LogLine {
+ public:
+  explicit LogLine(LogEvent event);
+  ~LogLine();
+  LogLine(const LogLine&) = delete;
+  LogLine& operator=(const LogLine&) = delete;
+
+  LogLine& Add(std::string_view name, std::string_view value);
+  LogLine& Add(std::string_view name, const char* value) {
+    return Add(name, std::string_view(value));
+  }
+  LogLine& Add(std::string_view name, const std::string& value) {
+    return Add(name, std::string_view(value));
+  }
+  LogLine& Add(std::string_view name, bool value);
+  LogLine& Add(std::string_view name, double value);
+  LogLine& Add(std::string_view name, Millis value) {
+    return Add(name, value.count());
+  }
+  template <std::integral T>
+  LogLine& Add(std::string_view name, T value) {
+    return AddRaw(name, std::to_string(value));
+  }
+
+ private:
+  LogLine& AddRaw(std::string_view name, std::string_view json);
+
+  std::string line_;
+};
+
+// A line with the single field "message".
 void WriteLog(LogEvent event, std::string_view text);
 
 template <typename... Args>
--- a/src/request_context.h
+++ b/src/request_context.h
@@ -9,7 +9,7 @@
 #include "src/document.h"
 #include "src/event_loop.h"
 #include "src/grant_table.h"
-#include "src/http_client.h"
+#include "io/http_client.h"
 #include "src/metrics.h"
 #include "src/order_claims.h"
 #include "src/scheduler.h"
--- a/src/router.cc
+++ b/src/router.cc
@@ -14,7 +14,7 @@
 #include "src/config_keeper.h"
 #include "src/grant_table.h"
 #include "src/host_list.h"
-#include "src/http_client.h"
+#include "io/http_client.h"
 #include "src/http_store.h"
 #include "src/ledger_client.h"
 #include "src/load_poller.h"
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -203,13 +203,17 @@
   return out;
 }
 
-Settings LoadSettings(const std::string& path) {
-  const auto text = ReadFile(path);
+std::string ReadSettingsFile(const std::string& path) {
+  auto text = ReadFile(path);
   if (!text) {
     throw SettingsError({{0, fmt::format("\"{}\" cannot be read", path),
                           "correct the path or the file's permissions"}});
   }
-  return ParseSettings(*text);
+  return *std::move(text);
+}
+
+Settings LoadSettings(const std::string& path) {
+  return ParseSettings(ReadSettingsFile(path));
 }
 
 }  // namespace crocuslatch
--- a/src/settings.h
+++ b/src/settings.h
@@ -76,6 +76,9 @@
 // Throws SettingsError "settings_rejected" with every problem found.
 Settings ParseSettings(std::string_view toml);
 
+// Throws SettingsError.
+std::string ReadSettingsFile(const std::string& path);
+
 // Reads and parses the file. Throws SettingsError.
 Settings LoadSettings(const std::string& path);
 
--- a/src/store.h
+++ b/src/store.h
@@ -6,6 +6,8 @@
 #include <string>
 #include <vector>
 
+#include "src/types.h"
+
 // Defines the port to the platform's key-value store.
 
 namespace crocuslatch {
@@ -14,6 +16,8 @@
   kOk,
   kNotFound,
   kVersionConflict,
+  // A watch asked for history that is gone.
+  kCompacted,
   // No answer, or an answer that the call failed. A write may have taken
   // effect and may still take effect later.
   kUnknown,
@@ -24,6 +28,8 @@
   // Version of the stored value; 0 if absent. On a conflict, the present one.
   std::uint64_t version = 0;
   std::string value;
+  // What went wrong, for logs.
+  std::string error;
 };
 
 struct StoreEntry {
@@ -32,7 +38,26 @@
   auto operator<=>(const StoreEntry&) const = default;
 };
 
+// One change of a key, or its present state.
+struct StoreItem {
+  std::string key;
+  // 0 if the key was removed.
+  std::uint64_t version = 0;
+  std::string value;
+  auto operator<=>(const StoreItem&) const = default;
+};
+
+struct StoreRange {
+  StoreStatus status = StoreStatus::kUnknown;
+  std::vector<StoreItem> items;
+  // Revision of the store that the items reflect at least.
+  std::uint64_t revision = 0;
+  // What went wrong, for logs.
+  std::string error;
+};
+
 using StoreCallback = std::function<void(const StoreResult&)>;
+using StoreRangeCallback = std::function<void(const StoreRange&)>;
 using StoreListCallback =
     std::function<void(StoreStatus, const std::vector<StoreEntry>&)>;
 
@@ -50,6 +75,17 @@
       void(const std::string& key, std::uint64_t expected, StoreCallback)>
       remove;
   std::function<void(const std::string& prefix, StoreListCallback)> list;
+
+  // All items under the prefix with their values. Empty if the store has no
+  // such call.
+  std::function<void(const std::string& prefix, StoreRangeCallback)> read_all;
+  // Changes under the prefix after the revision, as soon as there is one, or
+  // none after `wait`. Empty if the store has no such call.
+  std::function<void(const std::string& prefix,
+                     std::uint64_t after,
+                     Millis wait,
+                     StoreRangeCallback)>
+      watch;
 };
 
 }  // namespace crocuslatch
--- a/src/tool_commands.h
+++ b/src/tool_commands.h
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "src/error.h"
-#include "src/http_client.h"
+#include "io/http_client.h"
 #include "src/load_generator.h"
 #include "src/types.h"
 
--- a/src/worker.h
+++ b/src/worker.h
@@ -4,7 +4,7 @@
 #include <functional>
 #include <memory>
 
-#include "src/http_front.h"
+#include "io/http_front.h"
 #include "src/request_context.h"
 
 // Defines a worker: a thread with its own callers' listener and HTTP client.
--- a/standins/engine_server.h
+++ b/standins/engine_server.h
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "src/event_loop.h"
-#include "src/http_front.h"
+#include "io/http_front.h"
 #include "standins/fault_plan.h"
 #include "standins/prefix_cache.h"
 #include "standins/standin_program.h"
--- a/standins/standin_program.h
+++ b/standins/standin_program.h
@@ -11,7 +11,7 @@
 #include <string_view>
 
 #include "src/event_loop.h"
-#include "src/http_front.h"
+#include "io/http_front.h"
 
 // Defines what all stand-in programs share: options, start, JSON helpers and
 // requests that never get an answer.
--- a/standins/store_server.h
+++ b/standins/store_server.h
@@ -8,7 +8,7 @@
 #include <string>
 
 #include "src/event_loop.h"
-#include "src/http_front.h"
+#include "io/http_front.h"
 #include "standins/kv_table.h"
 #include "standins/standin_program.h"
 
--- a/tests/error/http_client_test.cc
+++ b/tests/error/http_client_test.cc
@@ -1,4 +1,4 @@
-#include "src/http_client.h"
+#include "io/http_client.h"
 
 #include <fmt/format.h>
 
@@ -7,7 +7,7 @@
 #include <catch2/catch.hpp>
 #include <map>
 
-#include "src/http_front.h"
+#include "io/http_front.h"
 #include "tests/run_until.h"
 
 namespace crocuslatch {
--- a/tests/error/http_store_test.cc
+++ b/tests/error/http_store_test.cc
@@ -5,7 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include "src/host_list.h"
-#include "src/http_front.h"
+#include "io/http_front.h"
 #include "tests/run_until.h"
 
 namespace crocuslatch {
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "src/event_loop.h"
-#include "src/http_client.h"
+#include "io/http_client.h"
 #include "src/types.h"
 #include "tests/process/caller.h"
 #include "tests/process/process.h"
--- a/tests/request_fixture.h
+++ b/tests/request_fixture.h
@@ -11,7 +11,7 @@
 
 #include "src/caller_api.h"
 #include "src/document.h"
-#include "src/http_front.h"
+#include "io/http_front.h"
 #include "src/sha256.h"
 #include "src/shard_state.h"
 #include "tests/run_until.h"
