Size grants by recent use and by what the budget has left

Every exchange settled after 1 s and each lost write was followed by a read. Change: holders keep at most half of the rest divided by their number, return sooner and settle sooner while a budget is tight, settle sums instead of bills with keys, and take the present value from the answer to a lost write. A shortage that others could end is told as 503 instead of 402. Sessions are placed by the last part that requests share instead of the request's own part.

--- a/app/forwarding.cc
+++ b/app/forwarding.cc
@@ -22,6 +22,9 @@
 constexpr Millis kStreamSilence{4000};
 // Longest wait for tokens of a client account.
 constexpr Millis kReserveWait{300};
+// Other routers settle and return within about a second, and a retry usually
+// reaches another router.
+constexpr Millis kBudgetRetryAfter{300};
 // A dispatch with less time than this left is not worth its load.
 constexpr Millis kLeastTimeLeft{5};
 // Time limit of a caller that states none.
@@ -168,8 +171,12 @@
             "top up the budget or send a smaller request"});
       return;
     }
-    Fail(Unavailable("budget_unavailable",
-                     "no tokens could be granted in time", Millis{500}));
+    const bool is_elsewhere = status == ReserveStatus::kHeldElsewhere;
+    Fail(Unavailable(
+        is_elsewhere ? "budget_held_elsewhere" : "budget_unavailable",
+        is_elsewhere ? "other routers hold the rest of the budget"
+                     : "the ledger could not be reached in time",
+        kBudgetRetryAfter));
   }
 
   const ModelWork* work() const {
@@ -219,7 +226,6 @@
         .Add("home", choice->is_home)
         .Add("candidates", choice->candidates)
         .Add("left_ms", deadline_ - now)
-        .Add("parts", std::string(FindHeader(headers_, "Crocuslatch-Prompt-Prefix")))
         .Add("version", table_->version());
     const int number = attempts_;
     const auto guard = [self = shared_from_this(), number](auto function) {
--- a/app/front.cc
+++ b/app/front.cc
@@ -127,8 +127,18 @@
 
   void StartBudgets() {
     auto options = MakeShardWriterOptions();
+    options.settle_delay = Millis{0};
     GrantTableOptions grant_options;
     grant_options.shard_count = kLedgerShards;
+    grant_options.settle_period = Millis{5000};
+    grant_options.use_window = Millis{3000};
+    grant_options.idle_return = Millis{10000};
+    grant_options.recall_wait = Millis{0};
+    grant_options.settles_sums = true;
+    grant_options.reserve_part = 0.5;
+    grant_options.tight_part = 0.25;
+    grant_options.refusal_time = Millis{300};
+    grant_options.spent_part = 0.97;
     grants = std::make_unique<GrantTable>(
         grant_options, holder, loop, MakeShardWriter(options, store, loop),
         [this](const std::string& name) -> std::optional<Tokens> {
--- a/core/model_work.h
+++ b/core/model_work.h
@@ -23,8 +23,8 @@
   Tokens max_output_tokens = 0;
   // The caller's estimate of the output; 0 if it made none. Often far off.
   Tokens expected_output_tokens = 0;
-  // In the order of the prompt. The last one belongs to the request or to its
-  // session; the prompt may go on behind it.
+  // In the order of the prompt. The last one belongs to the request alone,
+  // the one before it to a session or subject that other requests share.
   std::vector<PromptPart> parts;
   bool operator==(const ModelWork&) const = default;
 };
--- a/core/placement.cc
+++ b/core/placement.cc
@@ -12,6 +12,19 @@
   return StableHash(server_id, StableHash(session));
 }
 
+// The last part of the prompt that other requests share, if there is one.
+const PromptPart* SharedPart(const ModelWork& work) {
+  return work.parts.size() < 2 ? nullptr : &work.parts[work.parts.size() - 2];
+}
+
+Tokens SharedTokens(const ModelWork& work) {
+  Tokens sum = 0;
+  for (std::size_t i = 0; i + 1 < work.parts.size(); ++i) {
+    sum += work.parts[i].tokens;
+  }
+  return sum;
+}
+
 }  // namespace
 
 Placement::Placement(PlacementOptions options, std::string own_failure_domain)
@@ -80,7 +93,8 @@
 void Placement::RememberParts(Server& server,
                               const ModelWork& work,
                               Millis now) {
-  for (const auto& part : work.parts) {
+  for (std::size_t i = 0; i + 1 < work.parts.size(); ++i) {
+    const auto& part = work.parts[i];
     const auto found = server.parts.find(part.id);
     if (found != server.parts.end()) {
       found->second.used_at = now;
@@ -106,7 +120,7 @@
   };
   std::vector<Candidate> candidates;
   const bool is_model = query.work != nullptr;
-  const bool has_session = is_model && !query.work->parts.empty();
+  const auto* session = is_model ? SharedPart(*query.work) : nullptr;
   const auto collect = [&](bool allow_avoided) {
     for (const auto& [id, server] : servers_) {
       if (server.entry.service != query.service || server.entry.is_leaving ||
@@ -115,8 +129,7 @@
         continue;
       }
       candidates.push_back(
-          {&server, 0,
-           has_session ? HomeRank(query.work->parts.back().id, id) : 0});
+          {&server, 0, session != nullptr ? HomeRank(session->id, id) : 0});
     }
   };
   collect(false);
@@ -132,12 +145,9 @@
     it.cost = LoadMs(*it.server, is_model, query.now);
     if (is_model) {
       Tokens cached = CachedTokens(*it.server, *query.work, query.now);
-      if (has_session && it.server == home) {
+      if (session != nullptr && it.server == home) {
         // Other routers send the session there, too.
-        cached = 0;
-        for (const auto& part : query.work->parts) {
-          cached += part.tokens;
-        }
+        cached = std::max(cached, SharedTokens(*query.work));
       }
       it.cost += static_cast<double>(
                      std::max<Tokens>(0, query.work->prompt_tokens - cached)) /
@@ -154,7 +164,7 @@
   return PlacementChoice{.server_id = best.server->entry.id,
                          .address = best.server->entry.address,
                          .expected_ms = best.cost,
-                         .is_home = has_session && best.server == home,
+                         .is_home = session != nullptr && best.server == home,
                          .candidates = static_cast<int>(candidates.size())};
 }
 
--- a/src/grant_table.cc
+++ b/src/grant_table.cc
@@ -49,6 +49,15 @@
   Tokens unsettled = 0;
   // Not yet part of an exchange.
   std::vector<Bill> bills;
+  Tokens unsettled_sum = 0;
+  // As of the last reply; -1 before the first.
+  Tokens available = -1;
+  Tokens limit = 0;
+  std::size_t other_holders = 0;
+  // Requests of this size and more are refused until then.
+  Millis refuse_until{0};
+  Tokens refuse_from = 0;
+  ReserveStatus refusal = ReserveStatus::kInsufficient;
   std::optional<InFlight> in_flight;
   std::uint64_t sequence = 0;
   Tokens limit_sent = 0;
@@ -71,7 +80,7 @@
 using Tasks = std::vector<Task>;
 
 Tokens BilledIn(const ExchangeCommand& exchange) {
-  Tokens sum = 0;
+  Tokens sum = exchange.settled;
   for (const auto& it : exchange.bills) {
     sum += it.amount;
   }
@@ -134,12 +143,15 @@
 
 // Refuses what is at least as large as the first waiter and was there when
 // the exchange that fell short was sized.
-void RefuseShort(Budget& budget, std::uint64_t last_waiter, Tasks& tasks) {
+void RefuseShort(Budget& budget,
+                 ReserveStatus status,
+                 std::uint64_t last_waiter,
+                 Tasks& tasks) {
   const Tokens amount = budget.waiters.front().amount;
   std::erase_if(budget.waiters, [&](auto& it) {
     const bool refused = it.amount >= amount && it.id <= last_waiter;
     if (refused) {
-      EndWaiter(it, ReserveStatus::kInsufficient, tasks);
+      EndWaiter(it, status, tasks);
     }
     return refused;
   });
@@ -198,7 +210,12 @@
   }
 
   bool TryReserve(const std::string& name, Tokens amount);
+  bool IsTight(const Budget& budget) const;
+  Tokens SpareSize(const Budget& budget) const;
   bool IsLow(const Budget& budget) const;
+  std::optional<ReserveStatus> KnownRefusal(const Budget& budget,
+                                            Tokens amount,
+                                            Tokens limit) const;
   Tokens Want(const Budget& budget, Tokens free) const;
   Tokens ToReturn(const Budget& budget) const;
   bool IsSettleDue(const Budget& budget) const;
@@ -279,7 +296,8 @@
   }
   // The document's lock comes before this table's, so the limit is read
   // without holding the latter.
-  if (!limit_(name)) {
+  const auto limit = limit_(name);
+  if (!limit) {
     EndWaiter(waiter, ReserveStatus::kUnknownBudget, tasks);
     PostAll(std::move(tasks));
     return;
@@ -289,8 +307,9 @@
     const std::lock_guard lock(mutex_);
     id = ++last_waiter_;
     waiter.id = id;
-    if (is_stopping_) {
-      EndWaiter(waiter, ReserveStatus::kUnavailable, tasks);
+    const auto refusal = KnownRefusal(budgets_[name], amount, *limit);
+    if (is_stopping_ || refusal) {
+      EndWaiter(waiter, refusal.value_or(ReserveStatus::kUnavailable), tasks);
     } else {
       budgets_[name].waiters.push_back(std::move(waiter));
     }
@@ -319,9 +338,14 @@
     budget.used_at = now;
     if (amount > 0) {
       budget.unsettled += amount;
-      budget.bills.push_back({bill.key, amount});
-      budget.settle_at =
-          std::min(budget.settle_at, now + options_.settle_period);
+      if (options_.settles_sums) {
+        budget.unsettled_sum += amount;
+      } else {
+        budget.bills.push_back({bill.key, amount});
+      }
+      budget.settle_at = std::min(
+          budget.settle_at, now + (IsTight(budget) ? options_.tight_settle_period
+                                                   : options_.settle_period));
       AddUse(budget, amount, now, options_.use_window);
     }
   }
@@ -372,38 +396,70 @@
   return held;
 }
 
+bool GrantTable::Core::IsTight(const Budget& budget) const {
+  return budget.available >= 0 &&
+         static_cast<double>(budget.available) <
+             options_.tight_part * static_cast<double>(budget.limit);
+}
+
+// What to keep beyond the requests that wait now: the recent use, unless so
+// little is left that other holders would miss it.
+Tokens GrantTable::Core::SpareSize(const Budget& budget) const {
+  const Tokens use =
+      RecentUse(budget, loop_.now() - options_.use_window);
+  if (options_.reserve_part <= 0 || budget.available < 0) {
+    return use;
+  }
+  const double part = options_.reserve_part *
+                      static_cast<double>(budget.available) /
+                      static_cast<double>(budget.other_holders + 1);
+  return std::min(use, static_cast<Tokens>(part));
+}
+
 bool GrantTable::Core::IsLow(const Budget& budget) const {
-  const Millis now = loop_.now();
-  return !is_stopping_ && !budget.is_recalled && now >= budget.refill_after &&
-         budget.free <
-             RecentUse(budget, now - options_.use_window) / kLowWaterDivisor;
+  return !is_stopping_ && !budget.is_recalled &&
+         loop_.now() >= budget.refill_after &&
+         budget.free < SpareSize(budget) / kLowWaterDivisor;
+}
+
+// The answer that an earlier refusal gives to a request of this size. A limit
+// that was raised since makes it void.
+std::optional<ReserveStatus> GrantTable::Core::KnownRefusal(
+    const Budget& budget,
+    Tokens amount,
+    Tokens limit) const {
+  const bool holds = loop_.now() < budget.refuse_until &&
+                     amount >= budget.refuse_from &&
+                     amount > budget.free && limit <= budget.limit_sent;
+  return holds ? std::optional(budget.refusal) : std::nullopt;
 }
 
 // What to ask for while `free` tokens are kept.
 Tokens GrantTable::Core::Want(const Budget& budget, Tokens free) const {
-  const Millis now = loop_.now();
-  const Tokens use = RecentUse(budget, now - options_.use_window);
+  const Tokens spare = SpareSize(budget);
   if (budget.waiters.empty()) {
-    return IsLow(budget) ? use - free : 0;
+    return IsLow(budget) ? std::max<Tokens>(0, spare - free) : 0;
   }
-  if (now < budget.ask_after) {
+  if (loop_.now() < budget.ask_after) {
     return 0;
   }
   Tokens shortfall = -free;
   for (const auto& it : budget.waiters) {
     shortfall += it.amount;
   }
-  return std::max(shortfall, use);
+  return std::max(shortfall, spare);
 }
 
 Tokens GrantTable::Core::ToReturn(const Budget& budget) const {
-  const bool is_idle = budget.waiters.empty() &&
-                       loop_.now() >= budget.used_at + options_.idle_return;
+  const Millis idle_time = IsTight(budget) ? options_.tight_idle_return
+                                           : options_.idle_return;
+  const bool is_idle =
+      budget.waiters.empty() && loop_.now() >= budget.used_at + idle_time;
   return budget.is_recalled || is_stopping_ || is_idle ? budget.free : 0;
 }
 
 bool GrantTable::Core::IsSettleDue(const Budget& budget) const {
-  return !budget.bills.empty() &&
+  return (!budget.bills.empty() || budget.unsettled_sum > 0) &&
          (is_stopping_ || loop_.now() >= budget.settle_at);
 }
 
@@ -424,6 +480,7 @@
   exchange.holder = holder_;
   exchange.sequence = budget.sequence + 1;
   exchange.opens = HoldsNothing(budget);
+  exchange.settled = budget.unsettled_sum;
   const auto n = std::min(budget.bills.size(), kMaxBillsPerExchange);
   exchange.bills.assign(budget.bills.begin(),
                         budget.bills.begin() + static_cast<std::ptrdiff_t>(n));
@@ -449,6 +506,7 @@
   }
   budget.free -= exchange.returned;
   budget.is_recalled = false;
+  budget.unsettled_sum -= exchange.settled;
   budget.bills.erase(budget.bills.begin(),
                      budget.bills.begin() +
                          static_cast<std::ptrdiff_t>(exchange.bills.size()));
@@ -460,7 +518,8 @@
 
 // When the budget needs its next look, if time alone makes an exchange due.
 std::optional<Millis> GrantTable::Core::NextWake(const Budget& budget) const {
-  Millis at = budget.bills.empty() ? Millis::max() : budget.settle_at;
+  const bool has_bills = !budget.bills.empty() || budget.unsettled_sum > 0;
+  Millis at = has_bills ? budget.settle_at : Millis::max();
   if (!budget.waiters.empty()) {
     at = std::min(at, budget.ask_after);
   }
@@ -585,6 +644,9 @@
     return;
   }
   budget.limit_sent = sent.limit;
+  budget.available = reply.available;
+  budget.limit = reply.limit;
+  budget.other_holders = reply.other_holders.size();
   budget.free += reply.granted;
   if (reply.granted > 0) {
     budget.used_at = now;
@@ -619,8 +681,20 @@
     // The answers to that recall say nothing about tokens granted since.
     budget.recall_until.reset();
   }
-  if (reply.other_holders.empty() || (until && now >= *until)) {
-    RefuseShort(budget, sent.last_waiter, tasks);
+  const bool can_recall =
+      options_.recall_wait.count() > 0;
+  if (reply.other_holders.empty() || !can_recall ||
+      (until && now >= *until)) {
+    const double used = static_cast<double>(reply.billed + budget.unsettled +
+                                            budget.reserved + first.amount);
+    const bool is_spent =
+        reply.others_outstanding == 0 ||
+        used > options_.spent_part * static_cast<double>(reply.limit);
+    budget.refusal = is_spent ? ReserveStatus::kInsufficient
+                              : ReserveStatus::kHeldElsewhere;
+    budget.refuse_from = first.amount;
+    budget.refuse_until = now + options_.refusal_time;
+    RefuseShort(budget, budget.refusal, sent.last_waiter, tasks);
     return;
   }
   budget.waiters.front().is_short = true;
@@ -655,7 +729,8 @@
 
 // Looks for idle grants now and then.
 void GrantTable::Core::SweepLater() {
-  loop_.after(options_.idle_return / 4, Weakly([](Core& it) { it.Sweep(); }));
+  loop_.after(std::min(options_.idle_return, options_.tight_idle_return) / 4,
+              Weakly([](Core& it) { it.Sweep(); }));
 }
 
 void GrantTable::Core::Sweep() {
--- a/src/grant_table.h
+++ b/src/grant_table.h
@@ -31,6 +31,22 @@
   // time between exchanges meanwhile.
   Millis recall_wait{300};
   Millis recall_poll{100};
+  // Bills are settled as sums without their keys.
+  bool settles_sums = false;
+  // What this holder keeps in reserve is at most this part of what the budget
+  // has left, divided by the number of holders; 0 means no such limit.
+  double reserve_part = 0;
+  // A budget with less than this part of its limit left is tight: its holders
+  // settle and return sooner, so that others see and get what is left.
+  double tight_part = 0;
+  Millis tight_settle_period{1000};
+  Millis tight_idle_return{1500};
+  // Time for which a refusal for want of tokens also answers later requests of
+  // that size.
+  Millis refusal_time{0};
+  // Use beyond this part of the limit is refused for good, and use below it,
+  // if other holders have the tokens, for the moment.
+  double spent_part = 0;
   // Asks other holders to return what they do not need; runs on the loop.
   std::function<void(const std::string& budget,
                      const std::vector<HolderId>& holders)>
@@ -41,6 +57,8 @@
   kReserved,
   // The budget does not cover the amount.
   kInsufficient,
+  // The budget would cover it, but other holders have the tokens.
+  kHeldElsewhere,
   // The ledger was not reachable before the deadline.
   kUnavailable,
   kUnknownBudget,
--- a/src/ledger_generated.h
+++ b/src/ledger_generated.h
@@ -386,7 +386,8 @@
     VT_RETURNED = 12,
     VT_WANT = 14,
     VT_LEAST = 16,
-    VT_OPENS = 18
+    VT_OPENS = 18,
+    VT_SETTLED = 20
   };
   const flatbuffers::String *budget() const {
     return GetPointer<const flatbuffers::String *>(VT_BUDGET);
@@ -412,6 +413,9 @@
   bool opens() const {
     return GetField<uint8_t>(VT_OPENS, 0) != 0;
   }
+  int64_t settled() const {
+    return GetField<int64_t>(VT_SETTLED, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_BUDGET) &&
@@ -425,6 +429,7 @@
            VerifyField<int64_t>(verifier, VT_WANT, 8) &&
            VerifyField<int64_t>(verifier, VT_LEAST, 8) &&
            VerifyField<uint8_t>(verifier, VT_OPENS, 1) &&
+           VerifyField<int64_t>(verifier, VT_SETTLED, 8) &&
            verifier.EndTable();
   }
 };
@@ -457,6 +462,9 @@
   void add_opens(bool opens) {
     fbb_.AddElement<uint8_t>(ExchangeCommand::VT_OPENS, static_cast<uint8_t>(opens), 0);
   }
+  void add_settled(int64_t settled) {
+    fbb_.AddElement<int64_t>(ExchangeCommand::VT_SETTLED, settled, 0);
+  }
   explicit ExchangeCommandBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -479,8 +487,10 @@
     int64_t returned = 0,
     int64_t want = 0,
     int64_t least = 0,
-    bool opens = false) {
+    bool opens = false,
+    int64_t settled = 0) {
   ExchangeCommandBuilder builder_(_fbb);
+  builder_.add_settled(settled);
   builder_.add_least(least);
   builder_.add_want(want);
   builder_.add_returned(returned);
@@ -501,7 +511,8 @@
     int64_t returned = 0,
     int64_t want = 0,
     int64_t least = 0,
-    bool opens = false) {
+    bool opens = false,
+    int64_t settled = 0) {
   auto budget__ = budget ? _fbb.CreateString(budget) : 0;
   auto bills__ = bills ? _fbb.CreateVectorOfStructs<crocuslatch::wire::Bill>(*bills) : 0;
   return crocuslatch::wire::CreateExchangeCommand(
@@ -513,7 +524,8 @@
       returned,
       want,
       least,
-      opens);
+      opens,
+      settled);
 }
 
 struct SetLimitCommand FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1247,7 +1259,10 @@
     VT_GRANTED = 6,
     VT_AVAILABLE = 8,
     VT_OTHER_HOLDERS = 10,
-    VT_CLAIM = 12
+    VT_CLAIM = 12,
+    VT_LIMIT = 14,
+    VT_BILLED = 16,
+    VT_OTHERS_OUTSTANDING = 18
   };
   crocuslatch::wire::ReplyStatus status() const {
     return static_cast<crocuslatch::wire::ReplyStatus>(GetField<uint8_t>(VT_STATUS, 0));
@@ -1264,6 +1279,15 @@
   const crocuslatch::wire::ClaimRecord *claim() const {
     return GetPointer<const crocuslatch::wire::ClaimRecord *>(VT_CLAIM);
   }
+  int64_t limit() const {
+    return GetField<int64_t>(VT_LIMIT, 0);
+  }
+  int64_t billed() const {
+    return GetField<int64_t>(VT_BILLED, 0);
+  }
+  int64_t others_outstanding() const {
+    return GetField<int64_t>(VT_OTHERS_OUTSTANDING, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_STATUS, 1) &&
@@ -1274,6 +1298,9 @@
            verifier.VerifyVectorOfTables(other_holders()) &&
            VerifyOffset(verifier, VT_CLAIM) &&
            verifier.VerifyTable(claim()) &&
+           VerifyField<int64_t>(verifier, VT_LIMIT, 8) &&
+           VerifyField<int64_t>(verifier, VT_BILLED, 8) &&
+           VerifyField<int64_t>(verifier, VT_OTHERS_OUTSTANDING, 8) &&
            verifier.EndTable();
   }
 };
@@ -1297,6 +1324,15 @@
   void add_claim(flatbuffers::Offset<crocuslatch::wire::ClaimRecord> claim) {
     fbb_.AddOffset(ShardReply::VT_CLAIM, claim);
   }
+  void add_limit(int64_t limit) {
+    fbb_.AddElement<int64_t>(ShardReply::VT_LIMIT, limit, 0);
+  }
+  void add_billed(int64_t billed) {
+    fbb_.AddElement<int64_t>(ShardReply::VT_BILLED, billed, 0);
+  }
+  void add_others_outstanding(int64_t others_outstanding) {
+    fbb_.AddElement<int64_t>(ShardReply::VT_OTHERS_OUTSTANDING, others_outstanding, 0);
+  }
   explicit ShardReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1314,8 +1350,14 @@
     int64_t granted = 0,
     int64_t available = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocuslatch::wire::Holder>>> other_holders = 0,
-    flatbuffers::Offset<crocuslatch::wire::ClaimRecord> claim = 0) {
+    flatbuffers::Offset<crocuslatch::wire::ClaimRecord> claim = 0,
+    int64_t limit = 0,
+    int64_t billed = 0,
+    int64_t others_outstanding = 0) {
   ShardReplyBuilder builder_(_fbb);
+  builder_.add_others_outstanding(others_outstanding);
+  builder_.add_billed(billed);
+  builder_.add_limit(limit);
   builder_.add_available(available);
   builder_.add_granted(granted);
   builder_.add_claim(claim);
@@ -1330,7 +1372,10 @@
     int64_t granted = 0,
     int64_t available = 0,
     const std::vector<flatbuffers::Offset<crocuslatch::wire::Holder>> *other_holders = nullptr,
-    flatbuffers::Offset<crocuslatch::wire::ClaimRecord> claim = 0) {
+    flatbuffers::Offset<crocuslatch::wire::ClaimRecord> claim = 0,
+    int64_t limit = 0,
+    int64_t billed = 0,
+    int64_t others_outstanding = 0) {
   auto other_holders__ = other_holders ? _fbb.CreateVector<flatbuffers::Offset<crocuslatch::wire::Holder>>(*other_holders) : 0;
   return crocuslatch::wire::CreateShardReply(
       _fbb,
@@ -1338,7 +1383,10 @@
       granted,
       available,
       other_holders__,
-      claim);
+      claim,
+      limit,
+      billed,
+      others_outstanding);
 }
 
 struct GrantRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/shard_codec.cc
+++ b/src/shard_codec.cc
@@ -122,7 +122,8 @@
   return {wire::CommandBody::ExchangeCommand,
           wire::CreateExchangeCommand(
               builder, budget, holder, command.sequence, packed_bills,
-              command.returned, command.want, command.least, command.opens)
+              command.returned, command.want, command.least, command.opens,
+              command.settled)
               .Union()};
 }
 
@@ -189,6 +190,7 @@
   command.want = CheckAmount(table.want());
   command.least = CheckAmount(table.least());
   command.opens = table.opens();
+  command.settled = CheckAmount(table.settled());
   return command;
 }
 
@@ -439,7 +441,8 @@
   }
   return wire::CreateShardReply(
       builder, static_cast<wire::ReplyStatus>(reply.status), reply.granted,
-      reply.available, packed_holders, claim);
+      reply.available, packed_holders, claim, reply.limit, reply.billed,
+      reply.others_outstanding);
 }
 
 Offset<CommandVector> PackCommands(FlatBufferBuilder& builder,
@@ -490,6 +493,9 @@
   reply.status = static_cast<ReplyStatus>(table.status());
   reply.granted = CheckAmount(table.granted());
   reply.available = CheckAmount(table.available());
+  reply.limit = CheckAmount(table.limit());
+  reply.billed = CheckAmount(table.billed());
+  reply.others_outstanding = CheckAmount(table.others_outstanding());
   if (table.other_holders()) {
     for (const auto* it : *table.other_holders()) {
       reply.other_holders.push_back(Unpack(*it));
--- a/src/shard_state.cc
+++ b/src/shard_state.cc
@@ -67,6 +67,12 @@
   reply.status = status;
   reply.available = Available(budget);
   reply.other_holders = OtherHolders(budget, holder);
+  reply.limit = budget.limit;
+  reply.billed = budget.billed;
+  const auto own = budget.grants.find(holder);
+  reply.others_outstanding =
+      Outstanding(budget) -
+      (own == budget.grants.end() ? 0 : own->second.outstanding);
   return reply;
 }
 
@@ -86,6 +92,10 @@
     }
     left -= it.amount;
   }
+  if (command.settled < 0 || command.settled > left) {
+    return false;
+  }
+  left -= command.settled;
   return command.returned >= 0 && command.returned <= left;
 }
 
@@ -139,7 +149,8 @@
   GrantRecord& grant = budget->grants[command.holder];
   grant.outstanding = before.outstanding;
   SettleBills(state, *budget, grant, command.bills, now_ms);
-  grant.outstanding -= command.returned;
+  grant.outstanding -= command.settled + command.returned;
+  budget->billed += command.settled;
   const Tokens granted = GrantSize(command, Available(*budget));
   grant.outstanding += granted;
   grant.last_sequence = command.sequence;
--- a/src/shard_state.h
+++ b/src/shard_state.h
@@ -33,6 +33,8 @@
   // nothing and its record may have been dropped since its last exchange.
   bool opens = false;
   std::vector<Bill> bills;
+  // Billed without a key, where every request reaches one holder only.
+  Tokens settled = 0;
   Tokens returned = 0;
   // Grant asked for; less than `least` is granted only as 0.
   Tokens want = 0;
@@ -195,6 +197,10 @@
   std::vector<HolderId> other_holders;
   // Claim with kExists: the present record.
   ClaimRecord claim;
+  // Exchange: the budget after it, and what the other holders have.
+  Tokens limit = 0;
+  Tokens billed = 0;
+  Tokens others_outstanding = 0;
   bool operator==(const ShardReply&) const = default;
 };
 
--- a/src/shard_writer.cc
+++ b/src/shard_writer.cc
@@ -757,6 +757,15 @@
           }
           if (result.status == StoreStatus::kVersionConflict) {
             Log(LogEvent::kShardConflict, "{}", ShardKey(shard->number));
+            if (!result.value.empty()) {
+              // The store has told the present value with the conflict.
+              if (!self->StopIfUnused(*shard)) {
+                self->OnReadBack(
+                    shard, attempt,
+                    {StoreStatus::kOk, result.version, result.value});
+              }
+              return;
+            }
           } else {
             Log(LogEvent::kStoreWriteUncertain, "{}", ShardKey(shard->number));
           }
@@ -772,27 +781,42 @@
     });
   }
 
+  // True if no command of the shard waits any more.
+  bool StopIfUnused(Shard& shard) {
+    Expire(shard);
+    if (!shard.queue.empty()) {
+      return false;
+    }
+    shard.loaded = false;
+    shard.busy = false;
+    return true;
+  }
+
   void ReadBack(const ShardPtr& shard, const AttemptPtr& attempt) {
-    Expire(*shard);
-    if (shard->queue.empty()) {
-      shard->loaded = false;
-      shard->busy = false;
+    if (StopIfUnused(*shard)) {
       return;
     }
-    store_.get(ShardKey(shard->number), [self = shared_from_this(), shard,
-                                         attempt](const StoreResult& result) {
-      self->Note(*shard, result.status);
-      auto state = StateIn(shard->number, result);
-      if (!state) {
-        self->ReadBackLater(shard, attempt);
-      } else if (result.version != 0 && state->writer == attempt->nonce) {
-        self->Commit(shard, attempt, result.version);
-      } else {
-        Adopt(*shard, std::move(*state), result.version);
-        self->RemoveGarbage(*shard, *attempt);
-        self->Run(shard);
-      }
-    });
+    store_.get(ShardKey(shard->number),
+               [self = shared_from_this(), shard,
+                attempt](const StoreResult& result) {
+                 self->Note(*shard, result.status);
+                 self->OnReadBack(shard, attempt, result);
+               });
+  }
+
+  void OnReadBack(const ShardPtr& shard,
+                  const AttemptPtr& attempt,
+                  const StoreResult& result) {
+    auto state = StateIn(shard->number, result);
+    if (!state) {
+      ReadBackLater(shard, attempt);
+    } else if (result.version != 0 && state->writer == attempt->nonce) {
+      Commit(shard, attempt, result.version);
+    } else {
+      Adopt(*shard, std::move(*state), result.version);
+      RemoveGarbage(*shard, *attempt);
+      Run(shard);
+    }
   }
 
   // Removes segments of an attempt that lost. While the base version is still
