Keep reserves for 10 s without the store, by each host's own use

Client accounts stick to a few hosts (one account of half the traffic used one host), so an equal split of what is left is wrong, and so is a floor for accounts that a host never saw.

--- a/app/desired_state_follower.cc
+++ b/app/desired_state_follower.cc
@@ -8,6 +8,18 @@
 
 namespace crocuslatch {
 
+namespace {
+
+Tokens PrepaidTokens(const DesiredState& state) {
+  Tokens sum = 0;
+  for (const auto& it : state.client_accounts) {
+    sum += it.prepaid.value_or(0);
+  }
+  return sum;
+}
+
+}  // namespace
+
 struct DesiredStateFollower::Core
     : std::enable_shared_from_this<DesiredStateFollower::Core> {
   DesiredStateFollowerOptions options;
@@ -84,7 +96,8 @@
         .Add("version", state.version)
         .Add("routes", state.routes.size())
         .Add("services", state.services.size())
-        .Add("client_accounts", state.client_accounts.size());
+        .Add("client_accounts", state.client_accounts.size())
+        .Add("prepaid_tokens", PrepaidTokens(state));
     on_in_force(current);
   }
 
--- a/app/front.cc
+++ b/app/front.cc
@@ -31,7 +31,14 @@
 // Kept free at the end of the grace time to return what is held.
 constexpr Millis kStopReserve{1000};
 // Ledger shards; each write carries the accounts of one shard.
-constexpr std::uint32_t kLedgerShards = 8;
+constexpr std::uint32_t kLedgerShards = 2;
+// Reserve of each client account: a host that is cut off from the store serves
+// on for this long.
+constexpr Millis kSpareTime{10000};
+// Most of what a budget has left that one host keeps in reserve.
+constexpr double kReservePart = 1.0 / 3;
+// About one request with a long prompt.
+constexpr Tokens kSpareFloor = 20000;
 
 // Time that goes on while the host is suspended, so that whatever runs out is
 // judged by it.
@@ -127,15 +134,18 @@
 
   void StartBudgets() {
     auto options = MakeShardWriterOptions();
-    options.settle_delay = Millis{0};
+    options.settle_delay = Millis{20};
     GrantTableOptions grant_options;
     grant_options.shard_count = kLedgerShards;
     grant_options.settle_period = Millis{5000};
-    grant_options.use_window = Millis{3000};
+    grant_options.use_window = Millis{5000};
+    grant_options.spare_time = kSpareTime;
+    grant_options.spare_floor = kSpareFloor;
+    grant_options.top_up_period = Millis{2000};
     grant_options.idle_return = Millis{10000};
     grant_options.recall_wait = Millis{0};
     grant_options.settles_sums = true;
-    grant_options.reserve_part = 0.5;
+    grant_options.reserve_part = kReservePart;
     grant_options.tight_part = 0.25;
     grant_options.refusal_time = Millis{300};
     grant_options.spent_part = 0.97;
--- a/io/http_client.cc
+++ b/io/http_client.cc
@@ -1,15 +1,9 @@
 #include "io/http_client.h"
 
 #include <fmt/format.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
 
-#include <QHostAddress>
-#include <QTcpSocket>
 #include <QTimer>
 #include <algorithm>
-#include <cerrno>
 #include <charconv>
 #include <map>
 #include <optional>
@@ -18,6 +12,7 @@
 #include <vector>
 
 #include "io/http_parser.h"
+#include "io/tcp_socket.h"
 #include "src/ip_endpoint.h"
 
 namespace crocuslatch {
@@ -33,9 +28,6 @@
 // Idle connections kept for one server; more are closed when they get idle.
 constexpr std::size_t kMaxIdlePerServer = 64;
 
-// Bytes read by the kernel and not yet by us that a slow reader leaves.
-constexpr qint64 kReadBufferBytes = 1 << 20;
-
 struct Target {
   std::string authority;
   std::string path;
@@ -148,14 +140,13 @@
 class HttpClient::Connection : public QObject {
  public:
   Connection(Pool* pool, std::string authority)
-      : pool_(pool), authority_(std::move(authority)) {
+      : pool_(pool),
+        authority_(std::move(authority)),
+        socket_({.on_connected = [this] { OnConnected(); },
+                 .on_bytes = [this](auto bytes) { OnBytes(bytes); },
+                 .on_end = [this](TcpEnd end) { OnSocketEnd(end); }}) {
     timer_.setSingleShot(true);
-    socket_.setReadBufferSize(kReadBufferBytes);
     connect(&timer_, &QTimer::timeout, this, [this] { OnTimer(); });
-    connect(&socket_, &QTcpSocket::connected, this, [this] { OnConnected(); });
-    connect(&socket_, &QTcpSocket::readyRead, this, [this] { OnBytes(); });
-    connect(&socket_, &QTcpSocket::errorOccurred, this,
-            [this](auto error) { OnError(error); });
   }
 
   const std::string& authority() const { return authority_; }
@@ -172,7 +163,7 @@
     is_sent_ = false;
     has_no_body_ = request.method == "HEAD";
     MakeParser();
-    if (socket_.state() == QAbstractSocket::ConnectedState) {
+    if (socket_.is_connected()) {
       WriteRequest();
       return;
     }
@@ -182,9 +173,7 @@
       QTimer::singleShot(0, this, [this] { Finish(HttpEnd::kNotSent); });
       return;
     }
-    socket_.connectToHost(
-        QHostAddress(QString::fromStdString(endpoint->address)),
-        endpoint->port);
+    socket_.Connect(*endpoint, pool_->options.unacknowledged_timeout);
   }
 
   // The hook runs later, so that a caller may cancel from anywhere.
@@ -204,17 +193,8 @@
   }
 
   // True if nothing has arrived on the idle connection and its idle time is
-  // not over. Asks the kernel, since an event may wait in the loop.
-  bool IsFit() const {
-    if (socket_.state() != QAbstractSocket::ConnectedState ||
-        socket_.bytesAvailable() > 0 || SteadyNow() >= idle_until_) {
-      return false;
-    }
-    char byte = 0;
-    const auto n = ::recv(static_cast<int>(socket_.socketDescriptor()), &byte,
-                          1, MSG_PEEK | MSG_DONTWAIT);
-    return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-  }
+  // not over.
+  bool IsFit() const { return SteadyNow() < idle_until_ && socket_.IsQuiet(); }
 
   void CloseIdle() { Discard(); }
 
@@ -236,12 +216,6 @@
   }
 
   void OnConnected() {
-    const int fd = static_cast<int>(socket_.socketDescriptor());
-    const int on = 1;
-    ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-    const auto timeout = static_cast<unsigned int>(
-        pool_->options.unacknowledged_timeout.count());
-    ::setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof timeout);
     if (call_) {
       WriteRequest();
     }
@@ -251,9 +225,8 @@
     is_sent_ = true;
     has_answer_ = false;
     Arm(first_byte_timeout_);
-    socket_.write(bytes_.data(), static_cast<qint64>(bytes_.size()));
+    socket_.Write(bytes_);
     bytes_.clear();
-    socket_.flush();
   }
 
   void Arm(Millis timeout) {
@@ -302,7 +275,7 @@
     }
   }
 
-  void OnBytes() {
+  void OnBytes(std::string_view bytes) {
     if (!call_) {
       // Nothing was asked for: the connection is not trusted any more.
       Discard();
@@ -314,8 +287,7 @@
       has_answer_ = true;
       Arm(stall_timeout_);
     }
-    const auto bytes = socket_.readAll();
-    buffer_.append(bytes.data(), static_cast<std::size_t>(bytes.size()));
+    buffer_ += bytes;
     ParseBuffer();
   }
 
@@ -341,10 +313,7 @@
     }
   }
 
-  void OnError(QAbstractSocket::SocketError error) {
-    if (call_ && socket_.bytesAvailable() > 0) {
-      OnBytes();
-    }
+  void OnSocketEnd(TcpEnd end) {
     if (!call_) {
       Discard();
       return;
@@ -353,9 +322,8 @@
       Finish(HttpEnd::kNotSent);
       return;
     }
-    const bool in_order = error == QAbstractSocket::RemoteHostClosedError;
     is_reusable_ = false;
-    if (in_order && !is_skipping_ && parser_->FinishAtClose()) {
+    if (end == TcpEnd::kClosed && !is_skipping_ && parser_->FinishAtClose()) {
       Finish(HttpEnd::kComplete);
     } else {
       Finish(HttpEnd::kBroken);
@@ -377,9 +345,8 @@
     const auto hooks = std::exchange(call->hooks, nullptr);
     timer_.stop();
     const bool keep = end == HttpEnd::kComplete && is_reusable_ &&
-                      buffer_.empty() && socket_.bytesToWrite() == 0 &&
-                      idle_time_.count() > 0 &&
-                      socket_.state() == QAbstractSocket::ConnectedState;
+                      buffer_.empty() && socket_.unsent_bytes() == 0 &&
+                      idle_time_.count() > 0 && socket_.is_connected();
     if (keep) {
       idle_until_ = SteadyNow() + idle_time_;
       Arm(idle_time_);
@@ -401,14 +368,13 @@
   void Discard() {
     timer_.stop();
     pool_->Forget(this);
-    disconnect(&socket_, nullptr, this, nullptr);
-    socket_.abort();
+    socket_.Close();
     deleteLater();
   }
 
   Pool* pool_;
   const std::string authority_;
-  QTcpSocket socket_;
+  TcpSocket socket_;
   QTimer timer_;
   std::shared_ptr<HttpCall::State> call_;
   std::unique_ptr<HttpResponseParser> parser_;
--- /dev/null
+++ b/io/tcp_socket.cc
@@ -0,0 +1,181 @@
+#include "io/tcp_socket.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <QTimer>
+#include <array>
+#include <cerrno>
+#include <cstring>
+#include <utility>
+
+namespace crocuslatch {
+namespace {
+
+constexpr std::size_t kReadBytes = 64 << 10;
+
+bool WouldBlock(int error) {
+  return error == EAGAIN || error == EWOULDBLOCK || error == EINTR;
+}
+
+struct SocketAddress {
+  sockaddr_storage storage{};
+  socklen_t size = 0;
+};
+
+SocketAddress MakeSocketAddress(const IpEndpoint& peer) {
+  SocketAddress out;
+  sockaddr_in v4{};
+  sockaddr_in6 v6{};
+  if (::inet_pton(AF_INET, peer.address.c_str(), &v4.sin_addr) == 1) {
+    v4.sin_family = AF_INET;
+    v4.sin_port = htons(peer.port);
+    std::memcpy(&out.storage, &v4, sizeof v4);
+    out.size = sizeof v4;
+  } else if (::inet_pton(AF_INET6, peer.address.c_str(), &v6.sin6_addr) == 1) {
+    v6.sin6_family = AF_INET6;
+    v6.sin6_port = htons(peer.port);
+    std::memcpy(&out.storage, &v6, sizeof v6);
+    out.size = sizeof v6;
+  }
+  return out;
+}
+
+}  // namespace
+
+TcpSocket::TcpSocket(TcpSocketHooks hooks) : hooks_(std::move(hooks)) {}
+
+TcpSocket::~TcpSocket() {
+  Close();
+}
+
+void TcpSocket::Connect(const IpEndpoint& peer,
+                        Millis unacknowledged_timeout) {
+  const auto address = MakeSocketAddress(peer);
+  if (address.size > 0) {
+    descriptor_ = ::socket(address.storage.ss_family,
+                           SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  }
+  bool is_begun = false;
+  if (descriptor_ >= 0) {
+    const int on = 1;
+    const auto timeout =
+        static_cast<unsigned int>(unacknowledged_timeout.count());
+    ::setsockopt(descriptor_, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    ::setsockopt(descriptor_, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout,
+                 sizeof timeout);
+    is_begun = ::connect(descriptor_,
+                         reinterpret_cast<const sockaddr*>(&address.storage),
+                         address.size) == 0 ||
+               errno == EINPROGRESS;
+  }
+  if (!is_begun) {
+    Close();
+    QTimer::singleShot(0, &context_, [this] { End(TcpEnd::kConnectFailed); });
+    return;
+  }
+  readable_ = std::make_unique<QSocketNotifier>(descriptor_,
+                                                QSocketNotifier::Read);
+  writable_ = std::make_unique<QSocketNotifier>(descriptor_,
+                                                QSocketNotifier::Write);
+  readable_->setEnabled(false);
+  QObject::connect(readable_.get(), &QSocketNotifier::activated,
+                   readable_.get(), [this] { OnReadable(); });
+  QObject::connect(writable_.get(), &QSocketNotifier::activated,
+                   writable_.get(), [this] { OnWritable(); });
+}
+
+void TcpSocket::Write(std::string_view bytes) {
+  if (descriptor_ < 0) {
+    return;
+  }
+  unsent_ += bytes;
+  if (is_connected_) {
+    Flush();
+  }
+}
+
+void TcpSocket::Close() {
+  is_connected_ = false;
+  unsent_.clear();
+  // They may be running one of our hooks, so they are only switched off.
+  for (auto* it : {readable_.get(), writable_.get()}) {
+    if (it != nullptr) {
+      it->setEnabled(false);
+    }
+  }
+  if (descriptor_ >= 0) {
+    ::close(std::exchange(descriptor_, -1));
+  }
+}
+
+bool TcpSocket::IsQuiet() const {
+  char byte = 0;
+  return is_connected_ &&
+         ::recv(descriptor_, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
+         WouldBlock(errno);
+}
+
+void TcpSocket::OnWritable() {
+  if (descriptor_ < 0) {
+    return;
+  }
+  if (is_connected_) {
+    Flush();
+    return;
+  }
+  int error = 0;
+  socklen_t size = sizeof error;
+  ::getsockopt(descriptor_, SOL_SOCKET, SO_ERROR, &error, &size);
+  if (error != 0) {
+    End(TcpEnd::kConnectFailed);
+    return;
+  }
+  is_connected_ = true;
+  readable_->setEnabled(true);
+  writable_->setEnabled(false);
+  hooks_.on_connected();
+  if (is_connected_) {
+    Flush();
+  }
+}
+
+void TcpSocket::Flush() {
+  while (!unsent_.empty()) {
+    const auto n = ::send(descriptor_, unsent_.data(), unsent_.size(),
+                          MSG_NOSIGNAL);
+    if (n < 0) {
+      // A reset is found by the next read, after what came before it.
+      break;
+    }
+    unsent_.erase(0, static_cast<std::size_t>(n));
+  }
+  writable_->setEnabled(!unsent_.empty() && WouldBlock(errno));
+}
+
+void TcpSocket::OnReadable() {
+  static thread_local std::array<char, kReadBytes> buf;
+  if (!is_connected_) {
+    return;
+  }
+  const auto n = ::recv(descriptor_, buf.data(), buf.size(), 0);
+  if (n > 0) {
+    hooks_.on_bytes({buf.data(), static_cast<std::size_t>(n)});
+  } else if (n == 0) {
+    End(TcpEnd::kClosed);
+  } else if (!WouldBlock(errno)) {
+    End(TcpEnd::kReset);
+  }
+}
+
+void TcpSocket::End(TcpEnd end) {
+  Close();
+  if (const auto hook = std::exchange(hooks_.on_end, nullptr)) {
+    hook(end);
+  }
+}
+
+}  // namespace crocuslatch
--- a/src/grant_table.cc
+++ b/src/grant_table.cc
@@ -18,6 +18,9 @@
 // The grant is refilled when less than this part of the recent use is free.
 constexpr Tokens kLowWaterDivisor = 4;
 
+// Shortest time over which a rate of use is taken.
+constexpr Millis kLeastUseTime{1000};
+
 // Records of recent use for one window.
 constexpr int kUseSteps = 10;
 
@@ -63,7 +66,11 @@
   Tokens limit_sent = 0;
   std::deque<Waiter> waiters;
   std::deque<Use> uses;
+  // First use that the window knows of.
+  Millis used_since{0};
   Millis used_at{0};
+  // The next exchange fills the reserve up.
+  bool top_up = false;
   // When the oldest entry of `bills` has to be settled.
   Millis settle_at = Millis::max();
   // No exchange for waiters, or for a refill, before these times.
@@ -104,6 +111,9 @@
 }
 
 void AddUse(Budget& budget, Tokens amount, Millis now, Millis window) {
+  if (budget.uses.empty()) {
+    budget.used_since = now;
+  }
   while (!budget.uses.empty() && budget.uses.front().at < now - window) {
     budget.uses.pop_front();
   }
@@ -180,6 +190,7 @@
                std::function<void(ReserveStatus)> callback);
   void Settle(const std::string& name, Tokens reserved, const Bill& bill);
   void Recall(const std::string& name);
+  void TopUpLater();
   void ReturnAll(std::function<void()> callback);
   std::vector<HeldGrant> Held() const;
   void SweepLater();
@@ -211,6 +222,9 @@
 
   bool TryReserve(const std::string& name, Tokens amount);
   bool IsTight(const Budget& budget) const;
+  Millis IdleTime(const Budget& budget) const {
+    return IsTight(budget) ? options_.tight_idle_return : options_.idle_return;
+  }
   Tokens SpareSize(const Budget& budget) const;
   bool IsLow(const Budget& budget) const;
   std::optional<ReserveStatus> KnownRefusal(const Budget& budget,
@@ -248,6 +262,7 @@
                const ShardReply& reply,
                Tasks& tasks);
   void Sweep();
+  void TopUp();
   void TakeStopCallbacks(Tasks& tasks);
 
   const GrantTableOptions options_;
@@ -352,6 +367,36 @@
   PumpSoon(name);
 }
 
+// Fills all reserves up in one turn of the loop, so that one write carries
+// the exchanges of a shard.
+void GrantTable::Core::TopUp() {
+  std::vector<std::string> names;
+  {
+    const std::lock_guard lock(mutex_);
+    for (auto& [name, budget] : budgets_) {
+      const auto spare = static_cast<double>(SpareSize(budget));
+      const bool is_below = static_cast<double>(budget.free) <
+                            options_.top_up_part * spare;
+      const bool is_idle = loop_.now() >= budget.used_at + IdleTime(budget);
+      if (is_below && !is_idle && !is_stopping_ && !budget.in_flight &&
+          loop_.now() >= budget.refill_after) {
+        budget.top_up = true;
+        names.push_back(name);
+      }
+    }
+  }
+  for (const auto& it : names) {
+    Pump(it);
+  }
+  TopUpLater();
+}
+
+void GrantTable::Core::TopUpLater() {
+  if (options_.top_up_period.count() > 0) {
+    loop_.after(options_.top_up_period, Weakly([](Core& it) { it.TopUp(); }));
+  }
+}
+
 void GrantTable::Core::Recall(const std::string& name) {
   {
     const std::lock_guard lock(mutex_);
@@ -405,14 +450,19 @@
 // What to keep beyond the requests that wait now: the recent use, unless so
 // little is left that other holders would miss it.
 Tokens GrantTable::Core::SpareSize(const Budget& budget) const {
-  const Tokens use =
-      RecentUse(budget, loop_.now() - options_.use_window);
+  const Millis now = loop_.now();
+  Tokens use = RecentUse(budget, now - options_.use_window);
+  if (options_.spare_time.count() > 0) {
+    const Millis seen = std::clamp(now - budget.used_since, kLeastUseTime,
+                                   options_.use_window);
+    use = use * options_.spare_time.count() / seen.count();
+    use = std::max(use, budget.used_at.count() > 0 ? options_.spare_floor : 0);
+  }
   if (options_.reserve_part <= 0 || budget.available < 0) {
     return use;
   }
-  const double part = options_.reserve_part *
-                      static_cast<double>(budget.available) /
-                      static_cast<double>(budget.other_holders + 1);
+  const double part =
+      options_.reserve_part * static_cast<double>(budget.available + budget.free);
   return std::min(use, static_cast<Tokens>(part));
 }
 
@@ -438,7 +488,8 @@
 Tokens GrantTable::Core::Want(const Budget& budget, Tokens free) const {
   const Tokens spare = SpareSize(budget);
   if (budget.waiters.empty()) {
-    return IsLow(budget) ? std::max<Tokens>(0, spare - free) : 0;
+    return IsLow(budget) || budget.top_up ? std::max<Tokens>(0, spare - free)
+                                          : 0;
   }
   if (loop_.now() < budget.ask_after) {
     return 0;
@@ -447,14 +498,13 @@
   for (const auto& it : budget.waiters) {
     shortfall += it.amount;
   }
-  return std::max(shortfall, spare);
+  return options_.spare_time.count() > 0 ? shortfall + spare
+                                         : std::max(shortfall, spare);
 }
 
 Tokens GrantTable::Core::ToReturn(const Budget& budget) const {
-  const Millis idle_time = IsTight(budget) ? options_.tight_idle_return
-                                           : options_.idle_return;
-  const bool is_idle =
-      budget.waiters.empty() && loop_.now() >= budget.used_at + idle_time;
+  const bool is_idle = budget.waiters.empty() &&
+                       loop_.now() >= budget.used_at + IdleTime(budget);
   return budget.is_recalled || is_stopping_ || is_idle ? budget.free : 0;
 }
 
@@ -506,6 +556,7 @@
   }
   budget.free -= exchange.returned;
   budget.is_recalled = false;
+  budget.top_up = false;
   budget.unsettled_sum -= exchange.settled;
   budget.bills.erase(budget.bills.begin(),
                      budget.bills.begin() +
@@ -648,6 +699,19 @@
   budget.limit = reply.limit;
   budget.other_holders = reply.other_holders.size();
   budget.free += reply.granted;
+  LogLine(LogEvent::kGrantChanged)
+      .Add("budget", name)
+      .Add("wanted", sent.exchange.want)
+      .Add("granted", reply.granted)
+      .Add("returned", sent.exchange.returned)
+      .Add("settled", BilledIn(sent.exchange))
+      .Add("free", budget.free)
+      .Add("reserved", budget.reserved)
+      .Add("spare", SpareSize(budget))
+      .Add("available", reply.available)
+      .Add("others", reply.others_outstanding)
+      .Add("other_holders", budget.other_holders)
+      .Add("limit", reply.limit);
   if (reply.granted > 0) {
     budget.used_at = now;
     budget.recall_until.reset();
@@ -772,6 +836,7 @@
                                    std::move(apply),
                                    std::move(limit))) {
   core_->SweepLater();
+  core_->TopUpLater();
 }
 
 GrantTable::~GrantTable() = default;
--- a/src/grant_table.h
+++ b/src/grant_table.h
@@ -33,9 +33,18 @@
   Millis recall_poll{100};
   // Bills are settled as sums without their keys.
   bool settles_sums = false;
-  // What this holder keeps in reserve is at most this part of what the budget
-  // has left, divided by the number of holders; 0 means no such limit.
+  // What this holder keeps in reserve: the use of this time at the recent
+  // rate, and at least `spare_floor` where there was any. 0 means the use of
+  // the last window.
+  Millis spare_time{0};
+  Tokens spare_floor = 0;
+  // The reserve is at most this part of what the budget has left; 0 means no
+  // such limit.
   double reserve_part = 0;
+  // Every such period, reserves below `top_up_part` of their size are filled
+  // up, many in one write; 0 means never.
+  Millis top_up_period{0};
+  double top_up_part = 0.9;
   // A budget with less than this part of its limit left is tight: its holders
   // settle and return sooner, so that others see and get what is left.
   double tight_part = 0;
--- a/src/shard_writer.cc
+++ b/src/shard_writer.cc
@@ -99,9 +99,10 @@
   bool changed = false;
 };
 
-bool OnlySettles(const ShardCommand& command) {
+// True for exchanges for which no request waits here or elsewhere.
+bool MayWait(const ShardCommand& command) {
   const auto* exchange = std::get_if<ExchangeCommand>(&command);
-  return exchange && exchange->want == 0 && exchange->returned == 0;
+  return exchange && exchange->least == 0 && exchange->returned == 0;
 }
 
 std::shared_ptr<const LoadedSegment> MakeLoadedSegment(ShardSegment entries,
@@ -426,7 +427,7 @@
     }
     const bool has_claim = std::ranges::any_of(commands, IsClaim);
     auto pending = std::make_shared<Pending>();
-    const bool may_wait = std::ranges::all_of(commands, OnlySettles);
+    const bool may_wait = std::ranges::all_of(commands, MayWait);
     pending->commands = std::move(commands);
     pending->deadline = loop_.now() + timeout;
     // A call with a short timeout waits less, so that the write can end.
--- a/src/shard_writer.h
+++ b/src/shard_writer.h
@@ -17,8 +17,8 @@
 namespace crocuslatch {
 
 struct ShardWriterOptions {
-  // Longest wait of exchanges that only settle; one write then carries many
-  // budgets. Keeps each shard at a few writes a second.
+  // Longest wait of exchanges for which no request waits; one write then
+  // carries many budgets. Keeps each shard at a few writes a second.
   Millis settle_delay{200};
   // Backoff after a conflict or a failed call doubles between the two.
   Millis retry_min{5};
