Refuse at once and send callers elsewhere while cut off from the store

Cause: a host that is cut off held requests for 300 ms before it refused them, and stayed in rotation. 2 ledger shards for 10 accounts lost nearly every second write to another host (119 conflicts for 170 writes of one host in 20 s). Change: 64 shards, longer memory of spent budgets, readiness and Connection: close follow the store's answers, refusal without a wait once the ledger is lost; counters of store calls, requests and dispatches.

--- a/app/forwarding.cc
+++ b/app/forwarding.cc
@@ -21,7 +21,7 @@
 // earliest.
 constexpr Millis kStreamSilence{4000};
 // Longest wait for tokens of a client account.
-constexpr Millis kReserveWait{300};
+constexpr Millis kReserveWait{250};
 // Other routers settle and return within about a second, and a retry usually
 // reaches another router.
 constexpr Millis kBudgetRetryAfter{300};
@@ -399,6 +399,8 @@
     const Millis now = context_->loop.now();
     context_->placement->End(*ticket_, result, now);
     ticket_.reset();
+    context_->metrics->Count("dispatches", "end",
+                             fmt::format("{}:{}", ToString(end), status_));
     LogLine(LogEvent::kDispatchEnded)
         .Add("request", caller_.request_id)
         .Add("server", server_id_)
@@ -480,6 +482,8 @@
     is_done_ = true;
     Settle();
     const Millis now = context_->loop.now();
+    context_->metrics->Count("requests", "outcome", std::string(outcome));
+    RecordLatency(now);
     LogLine(LogEvent::kRequestEnded)
         .Add("request", caller_.request_id)
         .Add("route", route_ != nullptr ? route_->name : "")
@@ -495,6 +499,21 @@
         .Add("version", table_ ? table_->version() : 0);
   }
 
+  void RecordLatency(Millis now) {
+    if (route_ == nullptr) {
+      return;
+    }
+    const std::string account = account_ != nullptr ? account_->name : "";
+    const auto record = [&](Measure measure, Millis time) {
+      context_->metrics->Record(route_->name, account, measure,
+                                static_cast<double>(time.count()));
+    };
+    record(Measure::kEndToEnd, now - arrived_);
+    if (first_event_at_.count() > 0) {
+      record(Measure::kFirstToken, first_event_at_ - arrived_);
+    }
+  }
+
   const std::shared_ptr<const ForwardContext> context_;
   HttpReply reply_;
   const std::string method_;
--- a/app/forwarding.h
+++ b/app/forwarding.h
@@ -12,6 +12,7 @@
 #include "io/http_front.h"
 #include "src/event_loop.h"
 #include "src/grant_table.h"
+#include "src/metrics.h"
 
 // Defines the path of one forwarded request from its arrival to its answer.
 
@@ -23,6 +24,7 @@
   HttpClient* client = nullptr;
   Placement* placement = nullptr;
   RetryBudget* retries = nullptr;
+  Metrics* metrics = nullptr;
   // The version in force; null before the first one is known.
   std::function<RoutingTablePointer()> routing;
   // Reserves tokens of a client account; see GrantTable.
--- a/app/front.cc
+++ b/app/front.cc
@@ -1,5 +1,6 @@
 #include "app/front.h"
 
+#include <fmt/format.h>
 #include <time.h>
 
 #include <QRandomGenerator>
@@ -18,6 +19,7 @@
 #include "src/grant_table.h"
 #include "src/ip_endpoint.h"
 #include "src/log.h"
+#include "src/metrics.h"
 #include "src/shard_writer.h"
 
 namespace crocuslatch {
@@ -26,12 +28,18 @@
 // The balancer takes a host out after two missed probes, one each second, so
 // new connections may come this long after a planned stop begins.
 constexpr Millis kOutOfRotation{2500};
+constexpr Millis kActivityPeriod{10000};
+// Silence of the store after which this host counts as cut off from it. The
+// registry is read every 0.9 s, and a slow store takes some 0.3 s.
+constexpr Millis kCutOffTime{1500};
 // Wait between two looks at what a planned stop still waits for.
 constexpr Millis kStopPoll{50};
 // Kept free at the end of the grace time to return what is held.
 constexpr Millis kStopReserve{1000};
-// Ledger shards; each write carries the accounts of one shard.
-constexpr std::uint32_t kLedgerShards = 2;
+// Ledger shards. Callers of an account stay with a few hosts, so a shard with
+// one account is rarely written by two hosts at once: with 2 shards for 10
+// accounts nearly every second write was lost to another host's.
+constexpr std::uint32_t kLedgerShards = 64;
 // Reserve of each client account: a host that is cut off from the store serves
 // on for this long.
 constexpr Millis kSpareTime{10000};
@@ -68,8 +76,16 @@
   explicit Core(const FrontSettings& settings)
       : settings(settings),
         loop(MakeFrontLoop()),
-        store(platform::MakeKvStore({.address = settings.store_address}, loop,
-                                    &store_client)),
+        store(platform::MakeKvStore(
+            {.address = settings.store_address,
+             .on_call =
+                 [this](std::string_view call, std::string_view result) {
+                   NoteStoreCall(result);
+                   counters.Count("store_calls", "call",
+                                  fmt::format("{}:{}", call, result));
+                 }},
+            loop,
+            &store_client)),
         placement({}, settings.failure_domain),
         retries({.window = settings.retry_window,
                  .ratio = settings.retry_ratio * 0.85}),
@@ -77,6 +93,7 @@
 
   const FrontSettings settings;
   const EventLoop loop;
+  Metrics counters;
   HttpClient store_client;
   HttpClient client;
   Store store;
@@ -90,6 +107,8 @@
   std::unique_ptr<HttpFront> callers;
   std::unique_ptr<HttpFront> readiness;
   std::unique_ptr<HttpFront> metrics;
+  Millis store_answered_at{0};
+  std::string not_ready_reason = "starting";
   bool is_stopping = false;
   Millis stop_began{0};
 
@@ -119,8 +138,9 @@
         });
     metrics = std::make_unique<HttpFront>(
         ListenOptions(settings.metrics_address),
-        [](const IncomingRequest&, HttpReply reply) {
-          reply.SendWhole(200, {{"Content-Type", "text/plain"}}, "");
+        [this](const IncomingRequest&, HttpReply reply) {
+          reply.SendWhole(200, {{"Content-Type", "text/plain; version=0.0.4"}},
+                          counters.Exposition());
         });
     LogLine(LogEvent::kStarted)
         .Add("host", settings.host_name)
@@ -130,6 +150,23 @@
         .Add("store", settings.store_address);
     follower->Start();
     registry->Start();
+    LogActivityLater();
+  }
+
+  void LogActivityLater() {
+    loop.after(kActivityPeriod, [self = weak_from_this()] {
+      if (const auto core = self.lock()) {
+        core->LogActivity();
+        core->LogActivityLater();
+      }
+    });
+  }
+
+  void LogActivity() {
+    LogLine line(LogEvent::kActivity);
+    for (const auto* it : {"requests", "dispatches", "store_calls"}) {
+      line.Add(it, counters.CountsOf(it));
+    }
   }
 
   void StartBudgets() {
@@ -137,17 +174,21 @@
     options.settle_delay = Millis{20};
     GrantTableOptions grant_options;
     grant_options.shard_count = kLedgerShards;
-    grant_options.settle_period = Millis{5000};
+    grant_options.settle_period = Millis{10000};
     grant_options.use_window = Millis{5000};
     grant_options.spare_time = kSpareTime;
     grant_options.spare_floor = kSpareFloor;
     grant_options.top_up_period = Millis{2000};
     grant_options.idle_return = Millis{10000};
     grant_options.recall_wait = Millis{0};
+    grant_options.refuses_while_lost = true;
     grant_options.settles_sums = true;
     grant_options.reserve_part = kReservePart;
     grant_options.tight_part = 0.25;
+    grant_options.tight_settle_period = Millis{2000};
+    grant_options.tight_idle_return = Millis{3000};
     grant_options.refusal_time = Millis{300};
+    grant_options.spent_refusal_time = Millis{3000};
     grant_options.spent_part = 0.97;
     grants = std::make_unique<GrantTable>(
         grant_options, holder, loop, MakeShardWriter(options, store, loop),
@@ -176,6 +217,7 @@
                                   QRandomGenerator::global()->generate64()};
       grants->Settle(account, reserved, {key, used});
     };
+    context->metrics = &counters;
     context->random = [] {
       return QRandomGenerator::global()->generateDouble();
     };
@@ -193,14 +235,53 @@
     callers->SetLimits(MakeLimits(table->state().limits));
   }
 
-  bool IsReady() const {
-    return !is_stopping && follower->current() &&
-           registry->last_reading().has_value();
+  void NoteStoreCall(std::string_view result) {
+    if (result.starts_with('2') || result.starts_with('4')) {
+      store_answered_at = loop.now();
+    }
+  }
+
+  // True if the store has not answered for a while. Other hosts may reach it,
+  // and only they can be granted tokens and learn of changes.
+  bool IsCutOff() const {
+    return loop.now() - store_answered_at > kCutOffTime;
+  }
+
+  std::string_view NotReadyReason() const {
+    if (is_stopping) {
+      return "stopping";
+    }
+    if (!follower->current()) {
+      return "no_desired_state";
+    }
+    if (!registry->last_reading()) {
+      return "no_servers_known";
+    }
+    return IsCutOff() ? "store_unreachable" : "";
+  }
+
+  // Also moves callers to other hosts where this one is of little use.
+  void UpdateReadiness() {
+    const auto reason = NotReadyReason();
+    if (reason == not_ready_reason) {
+      return;
+    }
+    not_ready_reason = reason;
+    LogLine(LogEvent::kReadinessChanged)
+        .Add("ready", reason.empty())
+        .Add("reason", reason)
+        .Add("store_answered_ms_ago", loop.now() - store_answered_at);
+    if (!is_stopping) {
+      callers->KeepConnections(reason.empty());
+    }
   }
 
   void AnswerProbe(const IncomingRequest& request, HttpReply reply) {
     const bool is_probe = request.path == platform::kReadinessPath;
-    const int status = !is_probe ? 404 : IsReady() ? 200 : 503;
+    UpdateReadiness();
+    const int status = !is_probe                   ? 404
+                       : not_ready_reason.empty() ? 200
+                                                   : 503;
     reply.SendWhole(status, {}, "");
   }
 
@@ -226,7 +307,8 @@
     LogLine(LogEvent::kStopping)
         .Add("host", settings.host_name)
         .Add("requests_in_flight", callers->open_requests());
-    callers->StopKeepingConnections();
+    UpdateReadiness();
+    callers->KeepConnections(false);
     loop.after(kOutOfRotation, [self = shared_from_this(),
                                 stopped = std::move(stopped)] {
       self->callers->StopListening();
--- a/io/http_front.cc
+++ b/io/http_front.cc
@@ -532,10 +532,10 @@
     StartSweep();
   }
 
-  void StopKeepingConnections() { state_->closes_connections = true; }
+  void KeepConnections(bool keep) { state_->closes_connections = !keep; }
 
   void StopListening() {
-    StopKeepingConnections();
+    KeepConnections(false);
     // Connections that the kernel has accepted would be reset by closing.
     for (int n = 0; n < kListenBacklog; ++n) {
       if (!listener_.isListening() || !listener_.waitForNewConnection(0)) {
@@ -616,8 +616,8 @@
   server_->StopListening();
 }
 
-void HttpFront::StopKeepingConnections() {
-  server_->StopKeepingConnections();
+void HttpFront::KeepConnections(bool keep) {
+  server_->KeepConnections(keep);
 }
 
 std::size_t HttpFront::open_requests() const {
--- a/io/http_front.h
+++ b/io/http_front.h
@@ -91,8 +91,9 @@
   // Stops accepting connections; requests in flight go on, and their
   // connections and idle ones are closed in order.
   void StopListening();
-  // Answers say that their connection closes; new ones are still accepted.
-  void StopKeepingConnections();
+  // Without, answers say that their connection closes; new ones are still
+  // accepted.
+  void KeepConnections(bool keep);
   // Answers that have not ended.
   std::size_t open_requests() const;
   std::size_t open_connections() const;
--- a/src/grant_table.cc
+++ b/src/grant_table.cc
@@ -275,6 +275,8 @@
   // Guarded by mutex_.
   std::map<std::string, Budget> budgets_;
   std::uint64_t last_waiter_ = 0;
+  // An exchange has not been answered in time, and none was since.
+  bool is_ledger_lost_ = false;
   bool is_stopping_ = false;
   std::vector<std::function<void()>> stop_callbacks_;
 };
@@ -323,7 +325,9 @@
     id = ++last_waiter_;
     waiter.id = id;
     const auto refusal = KnownRefusal(budgets_[name], amount, *limit);
-    if (is_stopping_ || refusal) {
+    const bool is_lost = is_ledger_lost_ && options_.refuses_while_lost &&
+                         budgets_[name].in_flight;
+    if (is_stopping_ || is_lost || refusal) {
       EndWaiter(waiter, refusal.value_or(ReserveStatus::kUnavailable), tasks);
     } else {
       budgets_[name].waiters.push_back(std::move(waiter));
@@ -586,6 +590,7 @@
     if (it == waiters.end()) {
       return;
     }
+    is_ledger_lost_ |= !it->is_short;
     EndWaiter(*it,
               it->is_short ? ReserveStatus::kInsufficient
                            : ReserveStatus::kUnavailable,
@@ -665,6 +670,7 @@
     Budget& budget = budgets_[name];
     is_known = status == LedgerStatus::kDurable &&
                replies.size() == budget.in_flight.value().commands.size();
+    is_ledger_lost_ = !is_known;
     if (is_known) {
       const InFlight sent = std::move(*budget.in_flight);
       budget.in_flight.reset();
@@ -757,7 +763,8 @@
     budget.refusal = is_spent ? ReserveStatus::kInsufficient
                               : ReserveStatus::kHeldElsewhere;
     budget.refuse_from = first.amount;
-    budget.refuse_until = now + options_.refusal_time;
+    budget.refuse_until = now + (is_spent ? options_.spent_refusal_time
+                                          : options_.refusal_time);
     RefuseShort(budget, budget.refusal, sent.last_waiter, tasks);
     return;
   }
--- a/src/grant_table.h
+++ b/src/grant_table.h
@@ -51,8 +51,13 @@
   Millis tight_settle_period{1000};
   Millis tight_idle_return{1500};
   // Time for which a refusal for want of tokens also answers later requests of
-  // that size.
+  // that size: where other holders have the tokens, and where nobody has. A
+  // raised limit ends it.
   Millis refusal_time{0};
+  Millis spent_refusal_time{0};
+  // While the ledger does not answer, requests that the reserve does not cover
+  // are refused at once instead of after their wait.
+  bool refuses_while_lost = false;
   // Use beyond this part of the limit is refused for good, and use below it,
   // if other holders have the tokens, for the moment.
   double spent_part = 0;
--- a/src/log.cc
+++ b/src/log.cc
@@ -67,6 +67,7 @@
       {LogEvent::kSettingsReloaded, LogLevel::kInfo, "settings_reloaded"},
       {LogEvent::kLogLinesDropped, LogLevel::kWarning, "log_lines_dropped"},
       {LogEvent::kReadinessChanged, LogLevel::kInfo, "readiness_changed"},
+      {LogEvent::kActivity, LogLevel::kInfo, "activity"},
       {LogEvent::kDocumentInForce, LogLevel::kInfo, "document_in_force"},
       {LogEvent::kDocumentRejected, LogLevel::kWarning, "document_rejected"},
       {LogEvent::kDocumentConflict, LogLevel::kWarning, "document_conflict"},
--- a/src/log.h
+++ b/src/log.h
@@ -32,6 +32,7 @@
   kSettingsReloaded = 106,
   kLogLinesDropped = 107,
   kReadinessChanged = 108,
+  kActivity = 109,
   kDocumentInForce = 200,
   kDocumentRejected = 201,
   kDocumentConflict = 202,
--- a/src/metrics.cc
+++ b/src/metrics.cc
@@ -65,6 +65,8 @@
 
 using HistogramKey = std::tuple<std::string, std::string, Measure>;
 using OutcomeKey = std::tuple<std::string, Outcome, std::string>;
+// Name, label and value.
+using CounterKey = std::tuple<std::string, std::string, std::string>;
 using TokensKey = std::pair<std::string, std::string>;
 
 // Label values may contain anything that the document allows.
@@ -90,6 +92,7 @@
   std::map<HistogramKey, Histogram> histograms;
   std::map<OutcomeKey, std::uint64_t> outcomes;
   std::map<TokensKey, Tokens> tokens;
+  std::map<CounterKey, std::uint64_t> counters;
 };
 
 std::string_view ToString(Measure measure) {
@@ -126,6 +129,25 @@
   ++core_->outcomes[{rank, outcome, code}];
 }
 
+void Metrics::Count(const std::string& name,
+                    const std::string& label,
+                    const std::string& value) {
+  const std::lock_guard lock(core_->mutex);
+  ++core_->counters[{name, label, value}];
+}
+
+std::string Metrics::CountsOf(const std::string& name) const {
+  const std::lock_guard lock(core_->mutex);
+  std::string text;
+  for (const auto& [key, n] : core_->counters) {
+    if (std::get<0>(key) == name) {
+      text += fmt::format("{}{}={}", text.empty() ? "" : " ",
+                          std::get<2>(key), n);
+    }
+  }
+  return text;
+}
+
 void Metrics::CountTokens(const std::string& rank,
                           const std::string& client_account,
                           Tokens tokens) {
@@ -177,6 +199,16 @@
         Quote(std::get<0>(key)), Quote(ToString(std::get<1>(key))),
         Quote(std::get<2>(key)), n);
   }
+  std::string last;
+  for (const auto& [key, n] : core_->counters) {
+    const auto& [name, label, value] = key;
+    if (name != last) {
+      text += fmt::format("# TYPE crocuslatch_{}_total counter\n", name);
+      last = name;
+    }
+    text += fmt::format("crocuslatch_{}_total{{{}={}}} {}\n", name, label,
+                        Quote(value), n);
+  }
   text += "# TYPE crocuslatch_billed_tokens_total counter\n";
   for (const auto& [key, n] : core_->tokens) {
     text += fmt::format(
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -44,6 +44,14 @@
   void CountOutcome(const std::string& rank,
                     Outcome outcome,
                     const std::string& code);
+  // Adds one to the counter crocuslatch_<name>_total with the label
+  // `label`="<value>".
+  void Count(const std::string& name,
+             const std::string& label,
+             const std::string& value);
+  // All counters of Count as "<value>=<count>" pairs of one name, for logs.
+  std::string CountsOf(const std::string& name) const;
+
   // Tokens billed for a client account.
   void CountTokens(const std::string& rank,
                    const std::string& client_account,
