--- a/app/front.cc
+++ b/app/front.cc
@@ -179,6 +179,7 @@
     grant_options.spare_time = kSpareTime;
     grant_options.spare_floor = kSpareFloor;
     grant_options.top_up_period = Millis{2000};
+    grant_options.excess_factor = 1.5;
     grant_options.idle_return = Millis{10000};
     grant_options.recall_wait = Millis{0};
     grant_options.refuses_while_lost = true;
--- a/src/grant_table.cc
+++ b/src/grant_table.cc
@@ -69,8 +69,9 @@
   // First use that the window knows of.
   Millis used_since{0};
   Millis used_at{0};
-  // The next exchange fills the reserve up.
+  // The next exchange fills the reserve up, or cuts it back.
   bool top_up = false;
+  bool has_excess = false;
   // When the oldest entry of `bills` has to be settled.
   Millis settle_at = Millis::max();
   // No exchange for waiters, or for a refill, before these times.
@@ -379,12 +380,16 @@
     const std::lock_guard lock(mutex_);
     for (auto& [name, budget] : budgets_) {
       const auto spare = static_cast<double>(SpareSize(budget));
-      const bool is_below = static_cast<double>(budget.free) <
-                            options_.top_up_part * spare;
+      const auto free = static_cast<double>(budget.free);
       const bool is_idle = loop_.now() >= budget.used_at + IdleTime(budget);
-      if (is_below && !is_idle && !is_stopping_ && !budget.in_flight &&
-          loop_.now() >= budget.refill_after) {
-        budget.top_up = true;
+      if (is_stopping_ || budget.in_flight) {
+        continue;
+      }
+      budget.top_up = free < options_.top_up_part * spare && !is_idle &&
+                      loop_.now() >= budget.refill_after;
+      budget.has_excess = options_.excess_factor > 0 &&
+                          free > options_.excess_factor * spare;
+      if (budget.top_up || budget.has_excess) {
         names.push_back(name);
       }
     }
@@ -509,7 +514,12 @@
 Tokens GrantTable::Core::ToReturn(const Budget& budget) const {
   const bool is_idle = budget.waiters.empty() &&
                        loop_.now() >= budget.used_at + IdleTime(budget);
-  return budget.is_recalled || is_stopping_ || is_idle ? budget.free : 0;
+  if (budget.is_recalled || is_stopping_ || is_idle) {
+    return budget.free;
+  }
+  return budget.has_excess && budget.waiters.empty()
+             ? std::max<Tokens>(0, budget.free - SpareSize(budget))
+             : 0;
 }
 
 bool GrantTable::Core::IsSettleDue(const Budget& budget) const {
@@ -561,6 +571,7 @@
   budget.free -= exchange.returned;
   budget.is_recalled = false;
   budget.top_up = false;
+  budget.has_excess = false;
   budget.unsettled_sum -= exchange.settled;
   budget.bills.erase(budget.bills.begin(),
                      budget.bills.begin() +
--- a/src/grant_table.h
+++ b/src/grant_table.h
@@ -45,6 +45,9 @@
   // up, many in one write; 0 means never.
   Millis top_up_period{0};
   double top_up_part = 0.9;
+  // At the same time, reserves above this multiple of their size are cut back
+  // to it; 0 means never.
+  double excess_factor = 0;
   // A budget with less than this part of its limit left is tight: its holders
   // settle and return sooner, so that others see and get what is left.
   double tight_part = 0;
