Take back the tokens of a process that died online

Change: while it can write stamps, a host uses no more than the ledger knows; the next process of the host takes the rest back if clocks prove that the old one cannot have gone offline.

--- a/app/front.cc
+++ b/app/front.cc
@@ -9,6 +9,8 @@
 
 #include "app/desired_state_follower.h"
 #include "app/forwarding.h"
+#include "app/holder_recovery.h"
+#include "app/online_stamp.h"
 #include "app/server_registry_reader.h"
 #include "io/http_client.h"
 #include "io/http_front.h"
@@ -45,6 +47,9 @@
 constexpr Millis kSpareTime{10000};
 // Most of what a budget has left that one host keeps in reserve.
 constexpr double kReservePart = 1.0 / 3;
+// Use that the ledger knows ahead of an exchange; longer than a host that is
+// cut off takes to go offline.
+constexpr Millis kArmedTime{3500};
 // About one request with a long prompt.
 constexpr Tokens kSpareFloor = 20000;
 
@@ -58,6 +63,11 @@
                                                 now.tv_nsec));
 }
 
+Millis WallNow() {
+  return std::chrono::duration_cast<Millis>(
+      std::chrono::system_clock::now().time_since_epoch());
+}
+
 EventLoop MakeFrontLoop() {
   auto loop = MakeQtEventLoop();
   loop.now = &BootNow;
@@ -89,7 +99,8 @@
         placement({}, settings.failure_domain),
         retries({.window = settings.retry_window,
                  .ratio = settings.retry_ratio * 0.85}),
-        holder(MakeHolderId(settings.host_name)) {}
+        holder(MakeHolderId(settings.host_name)),
+        started_at(ReadClocks()) {}
 
   const FrontSettings settings;
   const EventLoop loop;
@@ -100,8 +111,10 @@
   Placement placement;
   RetryBudget retries;
   const HolderId holder;
+  const HostStamp started_at;
   std::unique_ptr<DesiredStateFollower> follower;
   std::unique_ptr<ServerRegistryReader> registry;
+  std::unique_ptr<OnlineStamp> stamps;
   std::unique_ptr<GrantTable> grants;
   std::shared_ptr<ForwardContext> context;
   std::unique_ptr<HttpFront> callers;
@@ -178,7 +191,7 @@
     grant_options.use_window = Millis{5000};
     grant_options.spare_time = kSpareTime;
     grant_options.spare_floor = kSpareFloor;
-    grant_options.top_up_period = Millis{2000};
+    grant_options.top_up_period = Millis{1500};
     grant_options.excess_factor = 1.5;
     grant_options.idle_return = Millis{10000};
     grant_options.recall_wait = Millis{0};
@@ -191,8 +204,11 @@
     grant_options.refusal_time = Millis{300};
     grant_options.spent_refusal_time = Millis{3000};
     grant_options.spent_part = 0.97;
+    grant_options.armed_time = kArmedTime;
+    const auto ledger = MakeShardWriter(options, store, loop);
+    StartStamps(ledger);
     grants = std::make_unique<GrantTable>(
-        grant_options, holder, loop, MakeShardWriter(options, store, loop),
+        grant_options, holder, loop, ledger,
         [this](const std::string& name) -> std::optional<Tokens> {
           const auto table = follower->current();
           const auto* account =
@@ -201,6 +217,29 @@
         });
   }
 
+  HostStamp ReadClocks() const {
+    return {.incarnation = holder.incarnation,
+            .boot_time = BootNow(),
+            .wall_time = WallNow()};
+  }
+
+  void StartStamps(const ApplyToShard& ledger) {
+    const auto key = "hosts/" + settings.host_name;
+    stamps = std::make_unique<OnlineStamp>(
+        key, HostStampOptions{}, store, loop,
+        OnlineStampHooks{
+            .read_clocks = [this] { return ReadClocks(); },
+            .is_within_bounds =
+                [this] { return !IsCutOff() && grants->IsWithinArmed(); },
+            .set_online = [this](bool it) { grants->SetOnline(it); }});
+    RecoverHolder({.host = settings.host_name,
+                   .stamp_key = key,
+                   .ledger_prefix = "ledger/",
+                   .start = started_at},
+                  store, loop, ledger,
+                  [this](std::uint64_t version) { stamps->Start(version); });
+  }
+
   void StartContext() {
     context = std::make_shared<ForwardContext>();
     context->loop = loop;
--- /dev/null
+++ b/app/holder_recovery.cc
@@ -0,0 +1,146 @@
+#include "app/holder_recovery.h"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+#include <vector>
+
+#include "src/error.h"
+#include "src/log.h"
+#include "src/shard_codec.h"
+
+namespace crocuslatch {
+namespace {
+
+class Recovery : public std::enable_shared_from_this<Recovery> {
+ public:
+  Recovery(HolderRecoveryOptions options,
+           Store store,
+           EventLoop loop,
+           ApplyToShard apply,
+           std::function<void(std::uint64_t)> done)
+      : options_(std::move(options)),
+        store_(std::move(store)),
+        loop_(std::move(loop)),
+        apply_(std::move(apply)),
+        done_(std::move(done)) {}
+
+  void ReadStamp() {
+    store_.get(options_.stamp_key,
+               [self = shared_from_this()](const StoreResult& it) {
+                 self->OnStamp(it);
+               });
+  }
+
+ private:
+  void OnStamp(const StoreResult& result) {
+    if (result.status == StoreStatus::kUnknown) {
+      // A stamp that cannot be read soon is too old to prove anything, but its
+      // version is needed to write the next one.
+      Later(&Recovery::ReadStamp);
+      return;
+    }
+    version_ = result.version;
+    const auto stamp = DecodeHostStamp(result.value);
+    const bool died_online =
+        stamp && DiedOnline(*stamp, options_.start, options_.stamps);
+    LogLine(LogEvent::kPreviousProcess)
+        .Add("found", stamp.has_value())
+        .Add("died_online", died_online)
+        .Add("by_wall_ms",
+             stamp ? options_.start.wall_time - stamp->wall_time : Millis{0})
+        .Add("by_boot_ms",
+             stamp ? options_.start.boot_time - stamp->boot_time : Millis{0});
+    if (!died_online) {
+      done_(version_);
+      return;
+    }
+    previous_ = {options_.host, stamp->incarnation};
+    ReadLedger();
+  }
+
+  void ReadLedger() {
+    store_.read_all(options_.ledger_prefix,
+                    [self = shared_from_this()](const StoreRange& it) {
+                      self->OnLedger(it);
+                    });
+  }
+
+  void OnLedger(const StoreRange& range) {
+    if (range.status != StoreStatus::kOk) {
+      Later(&Recovery::ReadLedger);
+      return;
+    }
+    for (const auto& it : range.items) {
+      try {
+        const auto state = DecodeShardState(it.value);
+        if (HoldsTokens(state)) {
+          shards_.push_back(state.shard);
+        }
+      } catch (const UserError& error) {
+        LogLine(LogEvent::kShardUnreadable)
+            .Add("key", it.key)
+            .Add("message", error.what());
+      }
+    }
+    ReclaimNext();
+  }
+
+  bool HoldsTokens(const ShardState& state) const {
+    return std::ranges::any_of(state.budgets, [&](const auto& it) {
+      const auto grant = it.second.grants.find(previous_);
+      return grant != it.second.grants.end() && grant->second.outstanding > 0;
+    });
+  }
+
+  void ReclaimNext() {
+    if (shards_.empty()) {
+      LogLine(LogEvent::kGrantsReclaimed)
+          .Add("holder", ToString(previous_))
+          .Add("tokens", reclaimed_);
+      done_(version_);
+      return;
+    }
+    apply_(shards_.back(), {ReclaimCommand{previous_}}, options_.apply_timeout,
+           [self = shared_from_this()](LedgerStatus status,
+                                       const std::vector<ShardReply>& replies) {
+             if (status != LedgerStatus::kDurable) {
+               // Repeating it changes nothing if it has taken effect.
+               self->Later(&Recovery::ReclaimNext);
+               return;
+             }
+             self->reclaimed_ += replies.front().granted;
+             self->shards_.pop_back();
+             self->ReclaimNext();
+           });
+  }
+
+  void Later(void (Recovery::*next)()) {
+    loop_.after(options_.retry_delay, [self = shared_from_this(), next] {
+      (*self.*next)();
+    });
+  }
+
+  const HolderRecoveryOptions options_;
+  const Store store_;
+  const EventLoop loop_;
+  const ApplyToShard apply_;
+  const std::function<void(std::uint64_t)> done_;
+  std::uint64_t version_ = 0;
+  HolderId previous_;
+  std::vector<std::uint32_t> shards_;
+  Tokens reclaimed_ = 0;
+};
+
+}  // namespace
+
+void RecoverHolder(const HolderRecoveryOptions& options,
+                   const Store& store,
+                   const EventLoop& loop,
+                   const ApplyToShard& apply,
+                   std::function<void(std::uint64_t stamp_version)> done) {
+  std::make_shared<Recovery>(options, store, loop, apply, std::move(done))
+      ->ReadStamp();
+}
+
+}  // namespace crocuslatch
--- /dev/null
+++ b/core/host_stamp.cc
@@ -0,0 +1,58 @@
+#include "core/host_stamp.h"
+
+#include <fmt/format.h>
+
+#include <array>
+#include <charconv>
+#include <chrono>
+
+namespace crocuslatch {
+
+std::string EncodeHostStamp(const HostStamp& stamp) {
+  return fmt::format("1 {:016x} {} {}", stamp.incarnation,
+                     stamp.boot_time.count(), stamp.wall_time.count());
+}
+
+std::optional<HostStamp> DecodeHostStamp(std::string_view text) {
+  constexpr std::string_view kFormat = "1 ";
+  if (!text.starts_with(kFormat)) {
+    return std::nullopt;
+  }
+  const auto* at = text.data() + kFormat.size();
+  const auto* const end = text.data() + text.size();
+  HostStamp stamp;
+  auto result = std::from_chars(at, end, stamp.incarnation, 16);
+  std::array<std::int64_t, 2> times{};
+  for (auto& it : times) {
+    if (result.ec != std::errc() || result.ptr == end || *result.ptr != ' ') {
+      return std::nullopt;
+    }
+    result = std::from_chars(result.ptr + 1, end, it);
+  }
+  if (result.ec != std::errc() || result.ptr != end) {
+    return std::nullopt;
+  }
+  stamp.boot_time = Millis{times[0]};
+  stamp.wall_time = Millis{times[1]};
+  return stamp;
+}
+
+bool DiedOnline(const HostStamp& stamp,
+                const HostStamp& start,
+                const HostStampOptions& options) {
+  const Millis by_wall = start.wall_time - stamp.wall_time;
+  const Millis by_boot = start.boot_time - stamp.boot_time;
+  const bool agree =
+      std::chrono::abs(by_wall - by_boot) <= options.clock_tolerance;
+  if (agree && by_boot >= Millis{0}) {
+    return by_boot <= options.restart_time;
+  }
+  // A step of the time of day on a host that was not started again would also
+  // bring the clocks apart; their difference is then a few seconds.
+  const bool may_be_same_boot = std::chrono::abs(by_wall - by_boot) <
+                                std::chrono::minutes(10);
+  return !may_be_same_boot && by_wall >= Millis{0} &&
+         by_wall <= options.reboot_time;
+}
+
+}  // namespace crocuslatch
--- a/src/grant_table.cc
+++ b/src/grant_table.cc
@@ -53,6 +53,9 @@
   // Not yet part of an exchange.
   std::vector<Bill> bills;
   Tokens unsettled_sum = 0;
+  // Bound of the use that the ledger knows.
+  Tokens armed = 0;
+  bool rearm = false;
   // As of the last reply; -1 before the first.
   Tokens available = -1;
   Tokens limit = 0;
@@ -142,14 +145,20 @@
   budget.used_at = now;
 }
 
-// Serves waiters in order while the grant covers them.
-void ServeWaiters(Budget& budget, Millis now, Tasks& tasks) {
-  auto& waiters = budget.waiters;
-  while (!waiters.empty() && waiters.front().amount <= budget.free) {
-    ReserveNow(budget, waiters.front().amount, now);
-    EndWaiter(waiters.front(), ReserveStatus::kReserved, tasks);
-    waiters.pop_front();
+// Used or about to be, as far as the last exchange that is known to have taken
+// effect has not settled it.
+Tokens UsedSince(const Budget& budget) {
+  return budget.reserved + budget.unsettled;
+}
+
+// An exchange in flight may or may not have taken effect, so the use has to
+// fit both bounds.
+Tokens ArmedBound(const Budget& budget) {
+  if (!budget.in_flight) {
+    return budget.armed;
   }
+  const auto& sent = budget.in_flight->exchange;
+  return std::min(budget.armed, sent.armed + sent.settled);
 }
 
 // Refuses what is at least as large as the first waiter and was there when
@@ -192,6 +201,8 @@
   void Settle(const std::string& name, Tokens reserved, const Bill& bill);
   void Recall(const std::string& name);
   void TopUpLater();
+  void SetOnline(bool online);
+  bool IsWithinArmed() const;
   void ReturnAll(std::function<void()> callback);
   std::vector<HeldGrant> Held() const;
   void SweepLater();
@@ -223,6 +234,18 @@
 
   bool TryReserve(const std::string& name, Tokens amount);
   bool IsTight(const Budget& budget) const;
+  bool IsBounded() const {
+    return is_online_ && options_.armed_time.count() > 0;
+  }
+  bool CanReserve(const Budget& budget, Tokens amount) const {
+    return amount <= budget.free &&
+           (!IsBounded() ||
+            UsedSince(budget) + amount <= ArmedBound(budget));
+  }
+  void ServeWaiters(Budget& budget, Millis now, Tasks& tasks) const;
+  Tokens UseIn(const Budget& budget, Millis time) const;
+  Tokens ToArm(const Budget& budget, Tokens settled) const;
+  bool NeedsRearm(const Budget& budget) const;
   Millis IdleTime(const Budget& budget) const {
     return IsTight(budget) ? options_.tight_idle_return : options_.idle_return;
   }
@@ -276,6 +299,7 @@
   // Guarded by mutex_.
   std::map<std::string, Budget> budgets_;
   std::uint64_t last_waiter_ = 0;
+  bool is_online_ = false;
   // An exchange has not been answered in time, and none was since.
   bool is_ledger_lost_ = false;
   bool is_stopping_ = false;
@@ -288,7 +312,7 @@
     const std::lock_guard lock(mutex_);
     const auto it = budgets_.find(name);
     if (is_stopping_ || it == budgets_.end() || !it->second.waiters.empty() ||
-        amount > it->second.free) {
+        !CanReserve(it->second, amount)) {
       return false;
     }
     ReserveNow(it->second, amount, loop_.now());
@@ -389,7 +413,11 @@
                       loop_.now() >= budget.refill_after;
       budget.has_excess = options_.excess_factor > 0 &&
                           free > options_.excess_factor * spare;
-      if (budget.top_up || budget.has_excess) {
+      budget.rearm = IsBounded() &&
+                     static_cast<double>(UsedSince(budget)) >
+                         options_.rearm_part *
+                             static_cast<double>(budget.armed);
+      if (budget.top_up || budget.has_excess || budget.rearm) {
         names.push_back(name);
       }
     }
@@ -400,6 +428,27 @@
   TopUpLater();
 }
 
+void GrantTable::Core::SetOnline(bool online) {
+  std::vector<std::string> names;
+  {
+    const std::lock_guard lock(mutex_);
+    is_online_ = online;
+    for (const auto& [name, budget] : budgets_) {
+      names.push_back(name);
+    }
+  }
+  for (const auto& it : names) {
+    PumpSoon(it);
+  }
+}
+
+bool GrantTable::Core::IsWithinArmed() const {
+  const std::lock_guard lock(mutex_);
+  return std::ranges::all_of(budgets_, [](const auto& it) {
+    return UsedSince(it.second) <= ArmedBound(it.second);
+  });
+}
+
 void GrantTable::Core::TopUpLater() {
   if (options_.top_up_period.count() > 0) {
     loop_.after(options_.top_up_period, Weakly([](Core& it) { it.TopUp(); }));
@@ -450,6 +499,51 @@
   return held;
 }
 
+// Serves waiters in order while the grant covers them.
+void GrantTable::Core::ServeWaiters(Budget& budget,
+                                    Millis now,
+                                    Tasks& tasks) const {
+  auto& waiters = budget.waiters;
+  while (!waiters.empty() && CanReserve(budget, waiters.front().amount)) {
+    ReserveNow(budget, waiters.front().amount, now);
+    EndWaiter(waiters.front(), ReserveStatus::kReserved, tasks);
+    waiters.pop_front();
+  }
+}
+
+// Expected use of the time, at the rate of the last window; at least the
+// floor if there was any use.
+Tokens GrantTable::Core::UseIn(const Budget& budget, Millis time) const {
+  const Millis now = loop_.now();
+  const Tokens use = RecentUse(budget, now - options_.use_window);
+  const Millis seen = std::clamp(now - budget.used_since, kLeastUseTime,
+                                 options_.use_window);
+  return std::max(use * time.count() / seen.count(),
+                  budget.used_at.count() > 0 ? options_.spare_floor : 0);
+}
+
+// The bound to tell the ledger with an exchange that settles `settled`.
+Tokens GrantTable::Core::ToArm(const Budget& budget, Tokens settled) const {
+  if (options_.armed_time.count() == 0) {
+    return 0;
+  }
+  Tokens bound = UsedSince(budget) - settled +
+                 UseIn(budget, options_.armed_time);
+  for (const auto& it : budget.waiters) {
+    bound += it.amount;
+  }
+  return bound;
+}
+
+bool GrantTable::Core::NeedsRearm(const Budget& budget) const {
+  if (!IsBounded()) {
+    return false;
+  }
+  const bool is_held_up =
+      !budget.waiters.empty() && budget.waiters.front().amount <= budget.free;
+  return budget.rearm || is_held_up;
+}
+
 bool GrantTable::Core::IsTight(const Budget& budget) const {
   return budget.available >= 0 &&
          static_cast<double>(budget.available) <
@@ -460,13 +554,9 @@
 // little is left that other holders would miss it.
 Tokens GrantTable::Core::SpareSize(const Budget& budget) const {
   const Millis now = loop_.now();
-  Tokens use = RecentUse(budget, now - options_.use_window);
-  if (options_.spare_time.count() > 0) {
-    const Millis seen = std::clamp(now - budget.used_since, kLeastUseTime,
-                                   options_.use_window);
-    use = use * options_.spare_time.count() / seen.count();
-    use = std::max(use, budget.used_at.count() > 0 ? options_.spare_floor : 0);
-  }
+  const Tokens use = options_.spare_time.count() > 0
+                         ? UseIn(budget, options_.spare_time)
+                         : RecentUse(budget, now - options_.use_window);
   if (options_.reserve_part <= 0 || budget.available < 0) {
     return use;
   }
@@ -534,7 +624,9 @@
   exchange.returned = ToReturn(budget);
   const Tokens kept = budget.free - exchange.returned;
   exchange.want = Want(budget, kept);
-  if (exchange.want == 0 && exchange.returned == 0 && !IsSettleDue(budget)) {
+  exchange.want = std::max<Tokens>(0, exchange.want);
+  if (exchange.want == 0 && exchange.returned == 0 && !IsSettleDue(budget) &&
+      !NeedsRearm(budget)) {
     return std::nullopt;
   }
   if (exchange.want > 0 && !budget.waiters.empty()) {
@@ -545,6 +637,7 @@
   exchange.sequence = budget.sequence + 1;
   exchange.opens = HoldsNothing(budget);
   exchange.settled = budget.unsettled_sum;
+  exchange.armed = ToArm(budget, exchange.settled);
   const auto n = std::min(budget.bills.size(), kMaxBillsPerExchange);
   exchange.bills.assign(budget.bills.begin(),
                         budget.bills.begin() + static_cast<std::ptrdiff_t>(n));
@@ -572,6 +665,7 @@
   budget.is_recalled = false;
   budget.top_up = false;
   budget.has_excess = false;
+  budget.rearm = false;
   budget.unsettled_sum -= exchange.settled;
   budget.bills.erase(budget.bills.begin(),
                      budget.bills.begin() +
@@ -712,6 +806,7 @@
     return;
   }
   budget.limit_sent = sent.limit;
+  budget.armed = sent.exchange.armed;
   budget.available = reply.available;
   budget.limit = reply.limit;
   budget.other_holders = reply.other_holders.size();
@@ -724,6 +819,7 @@
       .Add("settled", BilledIn(sent.exchange))
       .Add("free", budget.free)
       .Add("reserved", budget.reserved)
+      .Add("armed", budget.armed)
       .Add("spare", SpareSize(budget))
       .Add("available", reply.available)
       .Add("others", reply.others_outstanding)
@@ -872,6 +968,14 @@
   core_->Settle(budget, reserved, bill);
 }
 
+void GrantTable::SetOnline(bool online) {
+  core_->SetOnline(online);
+}
+
+bool GrantTable::IsWithinArmed() const {
+  return core_->IsWithinArmed();
+}
+
 void GrantTable::Recall(const std::string& budget) {
   core_->Recall(budget);
 }
--- a/src/ledger_generated.h
+++ b/src/ledger_generated.h
@@ -44,6 +44,9 @@
 struct FreezeCommand;
 struct FreezeCommandBuilder;
 
+struct ReclaimCommand;
+struct ReclaimCommandBuilder;
+
 struct ShardCommand;
 struct ShardCommandBuilder;
 
@@ -82,11 +85,12 @@
   AbandonCommand = 5,
   DoubtCommand = 6,
   FreezeCommand = 7,
+  ReclaimCommand = 8,
   MIN = NONE,
-  MAX = FreezeCommand
+  MAX = ReclaimCommand
 };
 
-inline const CommandBody (&EnumValuesCommandBody())[8] {
+inline const CommandBody (&EnumValuesCommandBody())[9] {
   static const CommandBody values[] = {
     CommandBody::NONE,
     CommandBody::ExchangeCommand,
@@ -95,13 +99,14 @@
     CommandBody::FinishCommand,
     CommandBody::AbandonCommand,
     CommandBody::DoubtCommand,
-    CommandBody::FreezeCommand
+    CommandBody::FreezeCommand,
+    CommandBody::ReclaimCommand
   };
   return values;
 }
 
 inline const char * const *EnumNamesCommandBody() {
-  static const char * const names[9] = {
+  static const char * const names[10] = {
     "NONE",
     "ExchangeCommand",
     "SetLimitCommand",
@@ -110,13 +115,14 @@
     "AbandonCommand",
     "DoubtCommand",
     "FreezeCommand",
+    "ReclaimCommand",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameCommandBody(CommandBody e) {
-  if (flatbuffers::IsOutRange(e, CommandBody::NONE, CommandBody::FreezeCommand)) return "";
+  if (flatbuffers::IsOutRange(e, CommandBody::NONE, CommandBody::ReclaimCommand)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesCommandBody()[index];
 }
@@ -153,6 +159,10 @@
   static const CommandBody enum_value = CommandBody::FreezeCommand;
 };
 
+template<> struct CommandBodyTraits<crocuslatch::wire::ReclaimCommand> {
+  static const CommandBody enum_value = CommandBody::ReclaimCommand;
+};
+
 bool VerifyCommandBody(flatbuffers::Verifier &verifier, const void *obj, CommandBody type);
 bool VerifyCommandBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<CommandBody> *types);
 
@@ -387,7 +397,8 @@
     VT_WANT = 14,
     VT_LEAST = 16,
     VT_OPENS = 18,
-    VT_SETTLED = 20
+    VT_SETTLED = 20,
+    VT_ARMED = 22
   };
   const flatbuffers::String *budget() const {
     return GetPointer<const flatbuffers::String *>(VT_BUDGET);
@@ -416,6 +427,9 @@
   int64_t settled() const {
     return GetField<int64_t>(VT_SETTLED, 0);
   }
+  int64_t armed() const {
+    return GetField<int64_t>(VT_ARMED, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_BUDGET) &&
@@ -430,6 +444,7 @@
            VerifyField<int64_t>(verifier, VT_LEAST, 8) &&
            VerifyField<uint8_t>(verifier, VT_OPENS, 1) &&
            VerifyField<int64_t>(verifier, VT_SETTLED, 8) &&
+           VerifyField<int64_t>(verifier, VT_ARMED, 8) &&
            verifier.EndTable();
   }
 };
@@ -465,6 +480,9 @@
   void add_settled(int64_t settled) {
     fbb_.AddElement<int64_t>(ExchangeCommand::VT_SETTLED, settled, 0);
   }
+  void add_armed(int64_t armed) {
+    fbb_.AddElement<int64_t>(ExchangeCommand::VT_ARMED, armed, 0);
+  }
   explicit ExchangeCommandBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -488,8 +506,10 @@
     int64_t want = 0,
     int64_t least = 0,
     bool opens = false,
-    int64_t settled = 0) {
+    int64_t settled = 0,
+    int64_t armed = 0) {
   ExchangeCommandBuilder builder_(_fbb);
+  builder_.add_armed(armed);
   builder_.add_settled(settled);
   builder_.add_least(least);
   builder_.add_want(want);
@@ -512,7 +532,8 @@
     int64_t want = 0,
     int64_t least = 0,
     bool opens = false,
-    int64_t settled = 0) {
+    int64_t settled = 0,
+    int64_t armed = 0) {
   auto budget__ = budget ? _fbb.CreateString(budget) : 0;
   auto bills__ = bills ? _fbb.CreateVectorOfStructs<crocuslatch::wire::Bill>(*bills) : 0;
   return crocuslatch::wire::CreateExchangeCommand(
@@ -525,7 +546,8 @@
       want,
       least,
       opens,
-      settled);
+      settled,
+      armed);
 }
 
 struct SetLimitCommand FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -969,6 +991,49 @@
   return builder_.Finish();
 }
 
+struct ReclaimCommand FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ReclaimCommandBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_HOLDER = 4
+  };
+  const crocuslatch::wire::Holder *holder() const {
+    return GetPointer<const crocuslatch::wire::Holder *>(VT_HOLDER);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_HOLDER) &&
+           verifier.VerifyTable(holder()) &&
+           verifier.EndTable();
+  }
+};
+
+struct ReclaimCommandBuilder {
+  typedef ReclaimCommand Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_holder(flatbuffers::Offset<crocuslatch::wire::Holder> holder) {
+    fbb_.AddOffset(ReclaimCommand::VT_HOLDER, holder);
+  }
+  explicit ReclaimCommandBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ReclaimCommand> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ReclaimCommand>(end);
+    fbb_.Required(o, ReclaimCommand::VT_HOLDER);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ReclaimCommand> CreateReclaimCommand(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<crocuslatch::wire::Holder> holder = 0) {
+  ReclaimCommandBuilder builder_(_fbb);
+  builder_.add_holder(holder);
+  return builder_.Finish();
+}
+
 struct ShardCommand FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef ShardCommandBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -1003,6 +1068,9 @@
   const crocuslatch::wire::FreezeCommand *body_as_FreezeCommand() const {
     return body_type() == crocuslatch::wire::CommandBody::FreezeCommand ? static_cast<const crocuslatch::wire::FreezeCommand *>(body()) : nullptr;
   }
+  const crocuslatch::wire::ReclaimCommand *body_as_ReclaimCommand() const {
+    return body_type() == crocuslatch::wire::CommandBody::ReclaimCommand ? static_cast<const crocuslatch::wire::ReclaimCommand *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -1040,6 +1108,10 @@
   return body_as_FreezeCommand();
 }
 
+template<> inline const crocuslatch::wire::ReclaimCommand *ShardCommand::body_as<crocuslatch::wire::ReclaimCommand>() const {
+  return body_as_ReclaimCommand();
+}
+
 struct ShardCommandBuilder {
   typedef ShardCommand Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -1397,7 +1469,8 @@
     VT_LAST_SEQUENCE = 8,
     VT_LAST_GRANTED = 10,
     VT_FROZEN = 12,
-    VT_CHANGED_MS = 14
+    VT_CHANGED_MS = 14,
+    VT_ARMED = 16
   };
   const crocuslatch::wire::Holder *holder() const {
     return GetPointer<const crocuslatch::wire::Holder *>(VT_HOLDER);
@@ -1417,6 +1490,9 @@
   int64_t changed_ms() const {
     return GetField<int64_t>(VT_CHANGED_MS, 0);
   }
+  int64_t armed() const {
+    return GetField<int64_t>(VT_ARMED, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_HOLDER) &&
@@ -1426,6 +1502,7 @@
            VerifyField<int64_t>(verifier, VT_LAST_GRANTED, 8) &&
            VerifyField<uint8_t>(verifier, VT_FROZEN, 1) &&
            VerifyField<int64_t>(verifier, VT_CHANGED_MS, 8) &&
+           VerifyField<int64_t>(verifier, VT_ARMED, 8) &&
            verifier.EndTable();
   }
 };
@@ -1452,6 +1529,9 @@
   void add_changed_ms(int64_t changed_ms) {
     fbb_.AddElement<int64_t>(GrantRecord::VT_CHANGED_MS, changed_ms, 0);
   }
+  void add_armed(int64_t armed) {
+    fbb_.AddElement<int64_t>(GrantRecord::VT_ARMED, armed, 0);
+  }
   explicit GrantRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1471,8 +1551,10 @@
     uint64_t last_sequence = 0,
     int64_t last_granted = 0,
     bool frozen = false,
-    int64_t changed_ms = 0) {
+    int64_t changed_ms = 0,
+    int64_t armed = 0) {
   GrantRecordBuilder builder_(_fbb);
+  builder_.add_armed(armed);
   builder_.add_changed_ms(changed_ms);
   builder_.add_last_granted(last_granted);
   builder_.add_last_sequence(last_sequence);
@@ -1944,6 +2026,10 @@
       auto ptr = reinterpret_cast<const crocuslatch::wire::FreezeCommand *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case CommandBody::ReclaimCommand: {
+      auto ptr = reinterpret_cast<const crocuslatch::wire::ReclaimCommand *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/src/shard_codec.cc
+++ b/src/shard_codec.cc
@@ -123,7 +123,7 @@
           wire::CreateExchangeCommand(
               builder, budget, holder, command.sequence, packed_bills,
               command.returned, command.want, command.least, command.opens,
-              command.settled)
+              command.settled, command.armed)
               .Union()};
 }
 
@@ -168,6 +168,12 @@
           wire::CreateDoubtCommand(builder, &key, command.attempt).Union()};
 }
 
+PackedBody PackBody(FlatBufferBuilder& builder, const ReclaimCommand& command) {
+  const auto holder = Pack(builder, command.holder);
+  return {wire::CommandBody::ReclaimCommand,
+          wire::CreateReclaimCommand(builder, holder).Union()};
+}
+
 PackedBody PackBody(FlatBufferBuilder& builder, const FreezeCommand& command) {
   const auto holder = Pack(builder, command.holder);
   return {wire::CommandBody::FreezeCommand,
@@ -191,6 +197,7 @@
   command.least = CheckAmount(table.least());
   command.opens = table.opens();
   command.settled = CheckAmount(table.settled());
+  command.armed = CheckAmount(table.armed());
   return command;
 }
 
@@ -217,6 +224,10 @@
   return {Unpack(*table.key()), table.attempt()};
 }
 
+ReclaimCommand Unpack(const wire::ReclaimCommand& table) {
+  return {Unpack(*table.holder())};
+}
+
 FreezeCommand Unpack(const wire::FreezeCommand& table) {
   return {Unpack(*table.holder())};
 }
@@ -346,7 +357,7 @@
     grants.push_back(wire::CreateGrantRecord(
         builder, PackShared(builder, holders, holder), grant.outstanding,
         grant.last_sequence, grant.last_granted, grant.frozen,
-        grant.changed_ms));
+        grant.changed_ms, grant.armed));
   }
   const auto packed_name = builder.CreateString(name);
   const auto packed_grants = builder.CreateVector(grants);
@@ -365,7 +376,8 @@
     for (const auto* it : *table.grants()) {
       const GrantRecord grant{
           CheckAmount(it->outstanding()), it->last_sequence(),
-          CheckAmount(it->last_granted()), it->frozen(), it->changed_ms()};
+          CheckAmount(it->last_granted()), it->frozen(), it->changed_ms(),
+          CheckAmount(it->armed())};
       left -= grant.outstanding;
       Require(left >= 0, "budget spent above its limit");
       Require(record.grants.emplace(Unpack(*it->holder()), grant).second,
@@ -481,6 +493,8 @@
       return Unpack(*table.body_as_DoubtCommand());
     case wire::CommandBody::FreezeCommand:
       return Unpack(*table.body_as_FreezeCommand());
+    case wire::CommandBody::ReclaimCommand:
+      return Unpack(*table.body_as_ReclaimCommand());
     case wire::CommandBody::NONE:
       break;
   }
--- a/src/shard_state.cc
+++ b/src/shard_state.cc
@@ -96,7 +96,8 @@
     return false;
   }
   left -= command.settled;
-  return command.returned >= 0 && command.returned <= left;
+  return command.armed >= 0 && command.returned >= 0 &&
+         command.returned <= left;
 }
 
 void SettleBills(ShardState& state,
@@ -155,6 +156,7 @@
   grant.outstanding += granted;
   grant.last_sequence = command.sequence;
   grant.last_granted = granted;
+  grant.armed = std::min(command.armed, grant.outstanding);
   grant.frozen = false;
   grant.changed_ms = now_ms;
   CheckInvariant(*budget);
@@ -337,6 +339,30 @@
   return StatusReply(ReplyStatus::kOk);
 }
 
+// What was armed counts as used. The record stays, so that a late copy of the
+// holder's exchange finds its sequence taken or more than it holds.
+ShardReply ApplyOne(ShardState& state,
+                    const ReclaimCommand& command,
+                    std::int64_t now_ms) {
+  ShardReply reply;
+  for (auto& [name, budget] : state.budgets) {
+    const auto it = budget.grants.find(command.holder);
+    if (it == budget.grants.end()) {
+      continue;
+    }
+    GrantRecord& grant = it->second;
+    const Tokens used = std::min(grant.armed, grant.outstanding);
+    reply.granted += grant.outstanding - used;
+    budget.billed += used;
+    grant.outstanding = 0;
+    grant.armed = 0;
+    grant.frozen = true;
+    grant.changed_ms = now_ms;
+    CheckInvariant(budget);
+  }
+  return reply;
+}
+
 }  // namespace
 
 bool MayClaimLater(const ShardReply& reply, std::uint64_t attempt) {
--- a/src/shard_state.h
+++ b/src/shard_state.h
@@ -33,12 +33,15 @@
   // nothing and its record may have been dropped since its last exchange.
   bool opens = false;
   std::vector<Bill> bills;
-  // Billed without a key, where every request reaches one holder only.
-  Tokens settled = 0;
   Tokens returned = 0;
   // Grant asked for; less than `least` is granted only as 0.
   Tokens want = 0;
   Tokens least = 0;
+  // Billed without a key, where every request reaches one holder only.
+  Tokens settled = 0;
+  // Most that the holder uses beyond what is settled while its host is online
+  // (core/host_stamp.h). The rest can be taken back if the host dies so.
+  Tokens armed = 0;
   bool operator==(const ExchangeCommand&) const = default;
 };
 
@@ -97,13 +100,21 @@
   bool operator==(const FreezeCommand&) const = default;
 };
 
+// Takes back what a holder cannot have used: all but what was armed, of every
+// budget of the shard. Only for a holder that died while its host was online.
+struct ReclaimCommand {
+  HolderId holder;
+  bool operator==(const ReclaimCommand&) const = default;
+};
+
 using ShardCommand = std::variant<ExchangeCommand,
                                   SetLimitCommand,
                                   ClaimCommand,
                                   FinishCommand,
                                   AbandonCommand,
                                   DoubtCommand,
-                                  FreezeCommand>;
+                                  FreezeCommand,
+                                  ReclaimCommand>;
 
 enum class ClaimState : std::uint8_t {
   kClaimed,
@@ -141,6 +152,8 @@
   // Wall-clock time of the last exchange, milliseconds since 1970; decides
   // when a record without outstanding tokens is dropped.
   std::int64_t changed_ms = 0;
+  // As of the last exchange.
+  Tokens armed = 0;
   bool operator==(const GrantRecord&) const = default;
 };
 
