Bound a holder's use by the time since its last stamp

Cause: a bound that ended all at once when a host went offline left a gap in each cut, and nothing came back from hosts that were killed after a cut. Change: the bound grows with time beyond a grace of 2 s, at a pace that the ledger knows, so that the next process of the host takes back what the old one cannot have used in the time that the clocks allow.

--- a/app/front.cc
+++ b/app/front.cc
@@ -10,8 +10,8 @@
 #include "app/desired_state_follower.h"
 #include "app/forwarding.h"
 #include "app/holder_recovery.h"
-#include "app/online_stamp.h"
 #include "app/server_registry_reader.h"
+#include "app/stamp_writer.h"
 #include "io/http_client.h"
 #include "io/http_front.h"
 #include "platform/backend_entry_codec.h"
@@ -47,9 +47,12 @@
 constexpr Millis kSpareTime{10000};
 // Most of what a budget has left that one host keeps in reserve.
 constexpr double kReservePart = 1.0 / 3;
-// Use that the ledger knows ahead of an exchange; longer than a host that is
-// cut off takes to go offline.
-constexpr Millis kArmedTime{3500};
+// Use that the ledger knows ahead of an exchange; longer than the time from an
+// exchange to the end of the grace after a stamp.
+constexpr Millis kArmedTime{2500};
+// Pace at which an account may be used without the store, tokens a second: one
+// long prompt in five seconds.
+constexpr Tokens kPaceFloor = 4000;
 // About one request with a long prompt.
 constexpr Tokens kSpareFloor = 20000;
 
@@ -114,7 +117,7 @@
   const HostStamp started_at;
   std::unique_ptr<DesiredStateFollower> follower;
   std::unique_ptr<ServerRegistryReader> registry;
-  std::unique_ptr<OnlineStamp> stamps;
+  std::unique_ptr<StampWriter> stamps;
   std::unique_ptr<GrantTable> grants;
   std::shared_ptr<ForwardContext> context;
   std::unique_ptr<HttpFront> callers;
@@ -205,6 +208,7 @@
     grant_options.spent_refusal_time = Millis{3000};
     grant_options.spent_part = 0.97;
     grant_options.armed_time = kArmedTime;
+    grant_options.pace_floor = kPaceFloor;
     const auto ledger = MakeShardWriter(options, store, loop);
     StartStamps(ledger);
     grants = std::make_unique<GrantTable>(
@@ -225,13 +229,13 @@
 
   void StartStamps(const ApplyToShard& ledger) {
     const auto key = "hosts/" + settings.host_name;
-    stamps = std::make_unique<OnlineStamp>(
-        key, HostStampOptions{}, store, loop,
-        OnlineStampHooks{
+    stamps = std::make_unique<StampWriter>(
+        StampWriterOptions{.key = key}, store, loop,
+        StampWriterHooks{
             .read_clocks = [this] { return ReadClocks(); },
-            .is_within_bounds =
-                [this] { return !IsCutOff() && grants->IsWithinArmed(); },
-            .set_online = [this](bool it) { grants->SetOnline(it); }});
+            .may_stamp =
+                [this] { return !IsCutOff() && grants->PrepareStamp(); },
+            .on_stamp = [this](Millis now) { grants->OnStamp(now); }});
     RecoverHolder({.host = settings.host_name,
                    .stamp_key = key,
                    .ledger_prefix = "ledger/",
--- a/app/holder_recovery.cc
+++ b/app/holder_recovery.cc
@@ -42,19 +42,21 @@
     }
     version_ = result.version;
     const auto stamp = DecodeHostStamp(result.value);
-    const bool died_online =
-        stamp && DiedOnline(*stamp, options_.start, options_.stamps);
+    const auto lived =
+        stamp ? LongestLife(*stamp, options_.start, options_.stamps)
+              : std::nullopt;
     LogLine(LogEvent::kPreviousProcess)
         .Add("found", stamp.has_value())
-        .Add("died_online", died_online)
+        .Add("lived_ms_at_most", lived.value_or(Millis{-1}))
         .Add("by_wall_ms",
              stamp ? options_.start.wall_time - stamp->wall_time : Millis{0})
         .Add("by_boot_ms",
              stamp ? options_.start.boot_time - stamp->boot_time : Millis{0});
-    if (!died_online) {
+    if (!lived) {
       done_(version_);
       return;
     }
+    lived_ = *lived;
     previous_ = {options_.host, stamp->incarnation};
     ReadLedger();
   }
@@ -101,7 +103,7 @@
       done_(version_);
       return;
     }
-    apply_(shards_.back(), {ReclaimCommand{previous_}}, options_.apply_timeout,
+    apply_(shards_.back(), {ReclaimCommand{previous_, lived_}}, options_.apply_timeout,
            [self = shared_from_this()](LedgerStatus status,
                                        const std::vector<ShardReply>& replies) {
              if (status != LedgerStatus::kDurable) {
@@ -128,6 +130,7 @@
   const std::function<void(std::uint64_t)> done_;
   std::uint64_t version_ = 0;
   HolderId previous_;
+  Millis lived_{0};
   std::vector<std::uint32_t> shards_;
   Tokens reclaimed_ = 0;
 };
--- a/app/holder_recovery.h
+++ b/app/holder_recovery.h
@@ -29,7 +29,7 @@
   Millis apply_timeout{2000};
 };
 
-// Takes back the tokens of the previous process if it died online. `done` is
+// Takes back the tokens that the previous process cannot have used. `done` is
 // called once, with the stored version of the stamp; before, no stamp may be
 // written, since the old one says what can be taken back.
 void RecoverHolder(const HolderRecoveryOptions& options,
--- a/core/host_stamp.cc
+++ b/core/host_stamp.cc
@@ -37,22 +37,25 @@
   return stamp;
 }
 
-bool DiedOnline(const HostStamp& stamp,
-                const HostStamp& start,
-                const HostStampOptions& options) {
+std::optional<Millis> LongestLife(const HostStamp& stamp,
+                                  const HostStamp& start,
+                                  const HostStampOptions& options) {
   const Millis by_wall = start.wall_time - stamp.wall_time;
   const Millis by_boot = start.boot_time - stamp.boot_time;
-  const bool agree =
-      std::chrono::abs(by_wall - by_boot) <= options.clock_tolerance;
-  if (agree && by_boot >= Millis{0}) {
-    return by_boot <= options.restart_time;
+  const Millis difference = std::chrono::abs(by_wall - by_boot);
+  if (difference <= options.clock_tolerance && by_boot >= Millis{0}) {
+    return by_boot <= options.longest_life
+               ? std::optional(by_boot + options.clock_tolerance)
+               : std::nullopt;
   }
-  // A step of the time of day on a host that was not started again would also
-  // bring the clocks apart; their difference is then a few seconds.
-  const bool may_be_same_boot = std::chrono::abs(by_wall - by_boot) <
-                                std::chrono::minutes(10);
-  return !may_be_same_boot && by_wall >= Millis{0} &&
-         by_wall <= options.reboot_time;
+  // A step of the time of day on a host that was not started again brings the
+  // clocks apart by seconds; another start of the host by any time.
+  const bool may_be_same_boot = difference < options.longest_life;
+  if (may_be_same_boot || by_wall < Millis{0} ||
+      by_wall > options.longest_life) {
+    return std::nullopt;
+  }
+  return by_wall + options.longest_step;
 }
 
 }  // namespace crocuslatch
--- a/core/host_stamp.h
+++ b/core/host_stamp.h
@@ -8,15 +8,14 @@
 
 #include "src/types.h"
 
-// Defines the stamp by which a host that died can be told to have died online.
+// Defines the stamp that tells how long a process can have lived.
 //
-// A holder of tokens that is cut off from the store uses what it was granted;
-// one that reaches the store uses no more than the ledger knows ("armed"). It
-// writes a stamp with its clocks at short intervals and counts as online until
-// `offline_after` from the last stamp that it tried to write. If the next
-// process of the same host finds that so little time has passed since that
-// stamp that the holder cannot have gone offline, the rest of its grants can
-// be taken back.
+// A holder of tokens tells the ledger a bound of what it uses beyond its last
+// exchange, which grows with the time since its last stamp (shard_state.h). It
+// writes a stamp with its clocks at short intervals, and none while it uses
+// more than the bound allows at the moment of a stamp. The next process of the
+// same host finds from the clocks how long the holder can have lived at most,
+// and takes back what it cannot have used in that time.
 
 namespace crocuslatch {
 
@@ -36,25 +35,21 @@
 std::optional<HostStamp> DecodeHostStamp(std::string_view text);
 
 struct HostStampOptions {
-  // One stamp each.
-  Millis period{1000};
-  // Online until this long after the last stamp that may have been written.
-  Millis offline_after{3300};
-  // Latest start of the next process after a stamp, by two clocks that agree.
-  Millis restart_time{3000};
-  // The same after the host itself was started again, when only the time of
-  // day is left. The difference to `offline_after` is what that clock may have
-  // been set back by.
-  Millis reboot_time{2200};
   // Largest difference of two clocks that agree.
   Millis clock_tolerance{200};
+  // What the time of day may have been set back by while the host was started
+  // again, when no other clock is left.
+  Millis longest_step{600};
+  // Nothing is concluded about a longer time.
+  Millis longest_life{std::chrono::minutes(10)};
 };
 
-// True if a process that wrote `stamp` cannot have gone offline before the
-// process with the clocks of `start` began on the same host.
-bool DiedOnline(const HostStamp& stamp,
-                const HostStamp& start,
-                const HostStampOptions& options);
+// Longest time that the process which wrote `stamp` can have lived after it,
+// given the clocks at the start of the next process of the host. nullopt if
+// the clocks do not tell.
+std::optional<Millis> LongestLife(const HostStamp& stamp,
+                                  const HostStamp& start,
+                                  const HostStampOptions& options);
 
 }  // namespace crocuslatch
 
--- a/src/grant_table.cc
+++ b/src/grant_table.cc
@@ -55,6 +55,7 @@
   Tokens unsettled_sum = 0;
   // Bound of the use that the ledger knows.
   Tokens armed = 0;
+  Tokens pace = 0;
   bool rearm = false;
   // As of the last reply; -1 before the first.
   Tokens available = -1;
@@ -151,14 +152,16 @@
   return budget.reserved + budget.unsettled;
 }
 
-// An exchange in flight may or may not have taken effect, so the use has to
-// fit both bounds.
-Tokens ArmedBound(const Budget& budget) {
+// Bound of the use at this time after the stamp. An exchange in flight may or
+// may not have taken effect, so the use has to fit both bounds.
+Tokens BoundAt(const Budget& budget, Millis since_stamp) {
+  const Tokens bound = UseBound(budget.armed, budget.pace, since_stamp);
   if (!budget.in_flight) {
-    return budget.armed;
+    return bound;
   }
   const auto& sent = budget.in_flight->exchange;
-  return std::min(budget.armed, sent.armed + sent.settled);
+  return std::min(
+      bound, UseBound(sent.armed, sent.pace, since_stamp) + sent.settled);
 }
 
 // Refuses what is at least as large as the first waiter and was there when
@@ -201,8 +204,8 @@
   void Settle(const std::string& name, Tokens reserved, const Bill& bill);
   void Recall(const std::string& name);
   void TopUpLater();
-  void SetOnline(bool online);
-  bool IsWithinArmed() const;
+  bool PrepareStamp();
+  void OnStamp(Millis now);
   void ReturnAll(std::function<void()> callback);
   std::vector<HeldGrant> Held() const;
   void SweepLater();
@@ -234,17 +237,21 @@
 
   bool TryReserve(const std::string& name, Tokens amount);
   bool IsTight(const Budget& budget) const;
+  // Before the first stamp nothing can be taken back, so nothing is bounded.
   bool IsBounded() const {
-    return is_online_ && options_.armed_time.count() > 0;
+    return stamped_at_ && options_.armed_time.count() > 0;
   }
   bool CanReserve(const Budget& budget, Tokens amount) const {
     return amount <= budget.free &&
            (!IsBounded() ||
-            UsedSince(budget) + amount <= ArmedBound(budget));
+            UsedSince(budget) + amount <=
+                BoundAt(budget, loop_.now() - *stamped_at_));
   }
   void ServeWaiters(Budget& budget, Millis now, Tasks& tasks) const;
   Tokens UseIn(const Budget& budget, Millis time) const;
+  Tokens UseOrFloor(const Budget& budget, Millis time) const;
   Tokens ToArm(const Budget& budget, Tokens settled) const;
+  Tokens Pace(const Budget& budget) const;
   bool NeedsRearm(const Budget& budget) const;
   Millis IdleTime(const Budget& budget) const {
     return IsTight(budget) ? options_.tight_idle_return : options_.idle_return;
@@ -299,7 +306,7 @@
   // Guarded by mutex_.
   std::map<std::string, Budget> budgets_;
   std::uint64_t last_waiter_ = 0;
-  bool is_online_ = false;
+  std::optional<Millis> stamped_at_;
   // An exchange has not been answered in time, and none was since.
   bool is_ledger_lost_ = false;
   bool is_stopping_ = false;
@@ -413,7 +420,7 @@
                       loop_.now() >= budget.refill_after;
       budget.has_excess = options_.excess_factor > 0 &&
                           free > options_.excess_factor * spare;
-      budget.rearm = IsBounded() &&
+      budget.rearm = options_.armed_time.count() > 0 &&
                      static_cast<double>(UsedSince(budget)) >
                          options_.rearm_part *
                              static_cast<double>(budget.armed);
@@ -428,25 +435,31 @@
   TopUpLater();
 }
 
-void GrantTable::Core::SetOnline(bool online) {
+bool GrantTable::Core::PrepareStamp() {
   std::vector<std::string> names;
+  bool is_within = true;
   {
     const std::lock_guard lock(mutex_);
-    is_online_ = online;
-    for (const auto& [name, budget] : budgets_) {
-      names.push_back(name);
+    for (auto& [name, budget] : budgets_) {
+      if (UsedSince(budget) <= BoundAt(budget, Millis{0})) {
+        continue;
+      }
+      is_within = false;
+      if (!budget.in_flight) {
+        budget.rearm = true;
+        names.push_back(name);
+      }
     }
   }
   for (const auto& it : names) {
     PumpSoon(it);
   }
+  return is_within;
 }
 
-bool GrantTable::Core::IsWithinArmed() const {
+void GrantTable::Core::OnStamp(Millis now) {
   const std::lock_guard lock(mutex_);
-  return std::ranges::all_of(budgets_, [](const auto& it) {
-    return UsedSince(it.second) <= ArmedBound(it.second);
-  });
+  stamped_at_ = now;
 }
 
 void GrantTable::Core::TopUpLater() {
@@ -511,14 +524,18 @@
   }
 }
 
-// Expected use of the time, at the rate of the last window; at least the
-// floor if there was any use.
+// Expected use of the time, at the rate of the last window.
 Tokens GrantTable::Core::UseIn(const Budget& budget, Millis time) const {
   const Millis now = loop_.now();
   const Tokens use = RecentUse(budget, now - options_.use_window);
   const Millis seen = std::clamp(now - budget.used_since, kLeastUseTime,
                                  options_.use_window);
-  return std::max(use * time.count() / seen.count(),
+  return use * time.count() / seen.count();
+}
+
+// The same, and at least the floor if there was any use.
+Tokens GrantTable::Core::UseOrFloor(const Budget& budget, Millis time) const {
+  return std::max(UseIn(budget, time),
                   budget.used_at.count() > 0 ? options_.spare_floor : 0);
 }
 
@@ -528,18 +545,26 @@
     return 0;
   }
   Tokens bound = UsedSince(budget) - settled +
-                 UseIn(budget, options_.armed_time);
+                 UseOrFloor(budget, options_.armed_time);
   for (const auto& it : budget.waiters) {
     bound += it.amount;
   }
   return bound;
 }
 
-bool GrantTable::Core::NeedsRearm(const Budget& budget) const {
-  if (!IsBounded()) {
-    return false;
+Tokens GrantTable::Core::Pace(const Budget& budget) const {
+  if (options_.armed_time.count() == 0) {
+    return 0;
   }
+  const auto rate =
+      static_cast<double>(UseIn(budget, std::chrono::seconds(1)));
+  return std::max(static_cast<Tokens>(rate * options_.pace_factor),
+                  options_.pace_floor);
+}
+
+bool GrantTable::Core::NeedsRearm(const Budget& budget) const {
   const bool is_held_up =
+      IsBounded() &&
       !budget.waiters.empty() && budget.waiters.front().amount <= budget.free;
   return budget.rearm || is_held_up;
 }
@@ -555,7 +580,7 @@
 Tokens GrantTable::Core::SpareSize(const Budget& budget) const {
   const Millis now = loop_.now();
   const Tokens use = options_.spare_time.count() > 0
-                         ? UseIn(budget, options_.spare_time)
+                         ? UseOrFloor(budget, options_.spare_time)
                          : RecentUse(budget, now - options_.use_window);
   if (options_.reserve_part <= 0 || budget.available < 0) {
     return use;
@@ -638,6 +663,7 @@
   exchange.opens = HoldsNothing(budget);
   exchange.settled = budget.unsettled_sum;
   exchange.armed = ToArm(budget, exchange.settled);
+  exchange.pace = Pace(budget);
   const auto n = std::min(budget.bills.size(), kMaxBillsPerExchange);
   exchange.bills.assign(budget.bills.begin(),
                         budget.bills.begin() + static_cast<std::ptrdiff_t>(n));
@@ -807,6 +833,7 @@
   }
   budget.limit_sent = sent.limit;
   budget.armed = sent.exchange.armed;
+  budget.pace = sent.exchange.pace;
   budget.available = reply.available;
   budget.limit = reply.limit;
   budget.other_holders = reply.other_holders.size();
@@ -820,6 +847,7 @@
       .Add("free", budget.free)
       .Add("reserved", budget.reserved)
       .Add("armed", budget.armed)
+      .Add("pace", budget.pace)
       .Add("spare", SpareSize(budget))
       .Add("available", reply.available)
       .Add("others", reply.others_outstanding)
@@ -968,12 +996,12 @@
   core_->Settle(budget, reserved, bill);
 }
 
-void GrantTable::SetOnline(bool online) {
-  core_->SetOnline(online);
+bool GrantTable::PrepareStamp() {
+  return core_->PrepareStamp();
 }
 
-bool GrantTable::IsWithinArmed() const {
-  return core_->IsWithinArmed();
+void GrantTable::OnStamp(Millis now) {
+  core_->OnStamp(now);
 }
 
 void GrantTable::Recall(const std::string& budget) {
--- a/src/grant_table.h
+++ b/src/grant_table.h
@@ -61,13 +61,17 @@
   // While the ledger does not answer, requests that the reserve does not cover
   // are refused at once instead of after their wait.
   bool refuses_while_lost = false;
-  // While the host is online (core/host_stamp.h) the ledger knows an upper bound
-  // of what is used: the use of this time at the recent rate, and at least
-  // `spare_floor`, beyond the last exchange. 0 means no such bound.
+  // The ledger is told a bound of the use beyond each exchange (UseBound):
+  // armed is the use of this time at the recent rate, and at least
+  // `spare_floor`. 0 means that there is no such bound.
   Millis armed_time{0};
-  // Part of that bound whose use makes the next top-up exchange it for a new
-  // one.
+  // Part of what is armed whose use makes the next top-up exchange it for a
+  // new bound.
   double rearm_part = 0.3;
+  // Pace of the bound, as a multiple of the recent rate, and what it is at
+  // least, tokens a second.
+  double pace_factor = 2;
+  Tokens pace_floor = 0;
   // Use beyond this part of the limit is refused for good, and use below it,
   // if other holders have the tokens, for the moment.
   double spent_part = 0;
@@ -121,10 +125,11 @@
   // the rest. An amount of 0 bills nothing.
   void Settle(const std::string& budget, Tokens reserved, const Bill& bill);
 
-  // Offline, everything granted may be used.
-  void SetOnline(bool online);
-  // True if no budget is used beyond the bound that the ledger knows.
-  bool IsWithinArmed() const;
+  // True if no budget is used beyond what is armed, so that the host may be
+  // stamped. Otherwise exchanges begin that make it so.
+  bool PrepareStamp();
+  // The host's last stamp was made at `now`; call it before writing the stamp.
+  void OnStamp(Millis now);
 
   // Gives unreserved tokens back with the next exchange, at once.
   void Recall(const std::string& budget);
--- a/src/ledger_generated.h
+++ b/src/ledger_generated.h
@@ -398,7 +398,8 @@
     VT_LEAST = 16,
     VT_OPENS = 18,
     VT_SETTLED = 20,
-    VT_ARMED = 22
+    VT_ARMED = 22,
+    VT_PACE = 24
   };
   const flatbuffers::String *budget() const {
     return GetPointer<const flatbuffers::String *>(VT_BUDGET);
@@ -430,6 +431,9 @@
   int64_t armed() const {
     return GetField<int64_t>(VT_ARMED, 0);
   }
+  int64_t pace() const {
+    return GetField<int64_t>(VT_PACE, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_BUDGET) &&
@@ -445,6 +449,7 @@
            VerifyField<uint8_t>(verifier, VT_OPENS, 1) &&
            VerifyField<int64_t>(verifier, VT_SETTLED, 8) &&
            VerifyField<int64_t>(verifier, VT_ARMED, 8) &&
+           VerifyField<int64_t>(verifier, VT_PACE, 8) &&
            verifier.EndTable();
   }
 };
@@ -483,6 +488,9 @@
   void add_armed(int64_t armed) {
     fbb_.AddElement<int64_t>(ExchangeCommand::VT_ARMED, armed, 0);
   }
+  void add_pace(int64_t pace) {
+    fbb_.AddElement<int64_t>(ExchangeCommand::VT_PACE, pace, 0);
+  }
   explicit ExchangeCommandBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -507,8 +515,10 @@
     int64_t least = 0,
     bool opens = false,
     int64_t settled = 0,
-    int64_t armed = 0) {
+    int64_t armed = 0,
+    int64_t pace = 0) {
   ExchangeCommandBuilder builder_(_fbb);
+  builder_.add_pace(pace);
   builder_.add_armed(armed);
   builder_.add_settled(settled);
   builder_.add_least(least);
@@ -533,7 +543,8 @@
     int64_t least = 0,
     bool opens = false,
     int64_t settled = 0,
-    int64_t armed = 0) {
+    int64_t armed = 0,
+    int64_t pace = 0) {
   auto budget__ = budget ? _fbb.CreateString(budget) : 0;
   auto bills__ = bills ? _fbb.CreateVectorOfStructs<crocuslatch::wire::Bill>(*bills) : 0;
   return crocuslatch::wire::CreateExchangeCommand(
@@ -547,7 +558,8 @@
       least,
       opens,
       settled,
-      armed);
+      armed,
+      pace);
 }
 
 struct SetLimitCommand FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -994,15 +1006,20 @@
 struct ReclaimCommand FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef ReclaimCommandBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_HOLDER = 4
+    VT_HOLDER = 4,
+    VT_LIVED_MS = 6
   };
   const crocuslatch::wire::Holder *holder() const {
     return GetPointer<const crocuslatch::wire::Holder *>(VT_HOLDER);
   }
+  int64_t lived_ms() const {
+    return GetField<int64_t>(VT_LIVED_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_HOLDER) &&
            verifier.VerifyTable(holder()) &&
+           VerifyField<int64_t>(verifier, VT_LIVED_MS, 8) &&
            verifier.EndTable();
   }
 };
@@ -1014,6 +1031,9 @@
   void add_holder(flatbuffers::Offset<crocuslatch::wire::Holder> holder) {
     fbb_.AddOffset(ReclaimCommand::VT_HOLDER, holder);
   }
+  void add_lived_ms(int64_t lived_ms) {
+    fbb_.AddElement<int64_t>(ReclaimCommand::VT_LIVED_MS, lived_ms, 0);
+  }
   explicit ReclaimCommandBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1028,8 +1048,10 @@
 
 inline flatbuffers::Offset<ReclaimCommand> CreateReclaimCommand(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<crocuslatch::wire::Holder> holder = 0) {
+    flatbuffers::Offset<crocuslatch::wire::Holder> holder = 0,
+    int64_t lived_ms = 0) {
   ReclaimCommandBuilder builder_(_fbb);
+  builder_.add_lived_ms(lived_ms);
   builder_.add_holder(holder);
   return builder_.Finish();
 }
@@ -1470,7 +1492,8 @@
     VT_LAST_GRANTED = 10,
     VT_FROZEN = 12,
     VT_CHANGED_MS = 14,
-    VT_ARMED = 16
+    VT_ARMED = 16,
+    VT_PACE = 18
   };
   const crocuslatch::wire::Holder *holder() const {
     return GetPointer<const crocuslatch::wire::Holder *>(VT_HOLDER);
@@ -1493,6 +1516,9 @@
   int64_t armed() const {
     return GetField<int64_t>(VT_ARMED, 0);
   }
+  int64_t pace() const {
+    return GetField<int64_t>(VT_PACE, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_HOLDER) &&
@@ -1503,6 +1529,7 @@
            VerifyField<uint8_t>(verifier, VT_FROZEN, 1) &&
            VerifyField<int64_t>(verifier, VT_CHANGED_MS, 8) &&
            VerifyField<int64_t>(verifier, VT_ARMED, 8) &&
+           VerifyField<int64_t>(verifier, VT_PACE, 8) &&
            verifier.EndTable();
   }
 };
@@ -1532,6 +1559,9 @@
   void add_armed(int64_t armed) {
     fbb_.AddElement<int64_t>(GrantRecord::VT_ARMED, armed, 0);
   }
+  void add_pace(int64_t pace) {
+    fbb_.AddElement<int64_t>(GrantRecord::VT_PACE, pace, 0);
+  }
   explicit GrantRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1552,8 +1582,10 @@
     int64_t last_granted = 0,
     bool frozen = false,
     int64_t changed_ms = 0,
-    int64_t armed = 0) {
+    int64_t armed = 0,
+    int64_t pace = 0) {
   GrantRecordBuilder builder_(_fbb);
+  builder_.add_pace(pace);
   builder_.add_armed(armed);
   builder_.add_changed_ms(changed_ms);
   builder_.add_last_granted(last_granted);
--- a/src/log.cc
+++ b/src/log.cc
@@ -68,8 +68,6 @@
       {LogEvent::kLogLinesDropped, LogLevel::kWarning, "log_lines_dropped"},
       {LogEvent::kReadinessChanged, LogLevel::kInfo, "readiness_changed"},
       {LogEvent::kActivity, LogLevel::kInfo, "activity"},
-      {LogEvent::kHostOnline, LogLevel::kInfo, "host_online"},
-      {LogEvent::kHostOffline, LogLevel::kWarning, "host_offline"},
       {LogEvent::kPreviousProcess, LogLevel::kInfo, "previous_process"},
       {LogEvent::kDocumentInForce, LogLevel::kInfo, "document_in_force"},
       {LogEvent::kDocumentRejected, LogLevel::kWarning, "document_rejected"},
--- a/src/shard_codec.cc
+++ b/src/shard_codec.cc
@@ -123,7 +123,7 @@
           wire::CreateExchangeCommand(
               builder, budget, holder, command.sequence, packed_bills,
               command.returned, command.want, command.least, command.opens,
-              command.settled, command.armed)
+              command.settled, command.armed, command.pace)
               .Union()};
 }
 
@@ -171,7 +171,8 @@
 PackedBody PackBody(FlatBufferBuilder& builder, const ReclaimCommand& command) {
   const auto holder = Pack(builder, command.holder);
   return {wire::CommandBody::ReclaimCommand,
-          wire::CreateReclaimCommand(builder, holder).Union()};
+          wire::CreateReclaimCommand(builder, holder, command.lived.count())
+              .Union()};
 }
 
 PackedBody PackBody(FlatBufferBuilder& builder, const FreezeCommand& command) {
@@ -198,6 +199,7 @@
   command.opens = table.opens();
   command.settled = CheckAmount(table.settled());
   command.armed = CheckAmount(table.armed());
+  command.pace = CheckAmount(table.pace());
   return command;
 }
 
@@ -225,7 +227,7 @@
 }
 
 ReclaimCommand Unpack(const wire::ReclaimCommand& table) {
-  return {Unpack(*table.holder())};
+  return {Unpack(*table.holder()), Millis{CheckAmount(table.lived_ms())}};
 }
 
 FreezeCommand Unpack(const wire::FreezeCommand& table) {
@@ -357,7 +359,7 @@
     grants.push_back(wire::CreateGrantRecord(
         builder, PackShared(builder, holders, holder), grant.outstanding,
         grant.last_sequence, grant.last_granted, grant.frozen,
-        grant.changed_ms, grant.armed));
+        grant.changed_ms, grant.armed, grant.pace));
   }
   const auto packed_name = builder.CreateString(name);
   const auto packed_grants = builder.CreateVector(grants);
@@ -377,7 +379,7 @@
       const GrantRecord grant{
           CheckAmount(it->outstanding()), it->last_sequence(),
           CheckAmount(it->last_granted()), it->frozen(), it->changed_ms(),
-          CheckAmount(it->armed())};
+          CheckAmount(it->armed()), CheckAmount(it->pace())};
       left -= grant.outstanding;
       Require(left >= 0, "budget spent above its limit");
       Require(record.grants.emplace(Unpack(*it->holder()), grant).second,
--- a/src/shard_state.cc
+++ b/src/shard_state.cc
@@ -96,7 +96,7 @@
     return false;
   }
   left -= command.settled;
-  return command.armed >= 0 && command.returned >= 0 &&
+  return command.armed >= 0 && command.pace >= 0 && command.returned >= 0 &&
          command.returned <= left;
 }
 
@@ -156,7 +156,8 @@
   grant.outstanding += granted;
   grant.last_sequence = command.sequence;
   grant.last_granted = granted;
-  grant.armed = std::min(command.armed, grant.outstanding);
+  grant.armed = command.armed;
+  grant.pace = command.pace;
   grant.frozen = false;
   grant.changed_ms = now_ms;
   CheckInvariant(*budget);
@@ -339,7 +340,7 @@
   return StatusReply(ReplyStatus::kOk);
 }
 
-// What was armed counts as used. The record stays, so that a late copy of the
+// What may have been used counts as used. The record stays, so that a late copy of the
 // holder's exchange finds its sequence taken or more than it holds.
 ShardReply ApplyOne(ShardState& state,
                     const ReclaimCommand& command,
@@ -351,11 +352,14 @@
       continue;
     }
     GrantRecord& grant = it->second;
-    const Tokens used = std::min(grant.armed, grant.outstanding);
+    const Tokens used =
+        std::min(UseBound(grant.armed, grant.pace, command.lived),
+                 grant.outstanding);
     reply.granted += grant.outstanding - used;
     budget.billed += used;
     grant.outstanding = 0;
     grant.armed = 0;
+    grant.pace = 0;
     grant.frozen = true;
     grant.changed_ms = now_ms;
     CheckInvariant(budget);
@@ -365,6 +369,12 @@
 
 }  // namespace
 
+Tokens UseBound(Tokens armed, Tokens pace, Millis since_stamp) {
+  constexpr Tokens kMillisPerSecond = 1000;
+  const Millis beyond = std::max(Millis{0}, since_stamp - kStampGrace);
+  return armed + pace * beyond.count() / kMillisPerSecond;
+}
+
 bool MayClaimLater(const ShardReply& reply, std::uint64_t attempt) {
   return reply.status == ReplyStatus::kExists &&
          reply.claim.state == ClaimState::kClaimed &&
--- a/src/shard_state.h
+++ b/src/shard_state.h
@@ -39,9 +39,9 @@
   Tokens least = 0;
   // Billed without a key, where every request reaches one holder only.
   Tokens settled = 0;
-  // Most that the holder uses beyond what is settled while its host is online
-  // (core/host_stamp.h). The rest can be taken back if the host dies so.
+  // Bound of what the holder uses beyond what is settled; see UseBound.
   Tokens armed = 0;
+  Tokens pace = 0;
   bool operator==(const ExchangeCommand&) const = default;
 };
 
@@ -100,10 +100,13 @@
   bool operator==(const FreezeCommand&) const = default;
 };
 
-// Takes back what a holder cannot have used: all but what was armed, of every
-// budget of the shard. Only for a holder that died while its host was online.
+// Takes back what a holder that has died cannot have used, of every budget of
+// the shard.
 struct ReclaimCommand {
   HolderId holder;
+  // Longest time that the holder can have lived after its last stamp
+  // (core/host_stamp.h).
+  Millis lived{0};
   bool operator==(const ReclaimCommand&) const = default;
 };
 
@@ -154,6 +157,7 @@
   std::int64_t changed_ms = 0;
   // As of the last exchange.
   Tokens armed = 0;
+  Tokens pace = 0;
   bool operator==(const GrantRecord&) const = default;
 };
 
@@ -222,6 +226,14 @@
 // it could then take the key, so its sender abandons it.
 bool MayClaimLater(const ShardReply& reply, std::uint64_t attempt);
 
+// A holder stamps its life at short intervals. At this time after a stamp it
+// may have lost the store, and its use is bounded by time.
+inline constexpr Millis kStampGrace{2000};
+
+// Most that a holder may have used beyond what is settled, `since_stamp` after
+// its last stamp: `armed` and, beyond the grace, `pace` for each second.
+Tokens UseBound(Tokens armed, Tokens pace, Millis since_stamp);
+
 // limit - billed - open charges - outstanding grants; never negative.
 Tokens Available(const BudgetRecord& budget);
 
--- a/tests/fixture_shard.h
+++ b/tests/fixture_shard.h
@@ -22,7 +22,7 @@
       ClaimCommand{{3, 6}, {5, 6}, "b", 7, 8, holder},
       AbandonCommand{{3, 7}, 9, "b"},
       FreezeCommand{holder},
-      ReclaimCommand{holder},
+      ReclaimCommand{holder, Millis{2500}},
   };
 }
 
