Let requests wait for the bound at the start of a cut

Cause: at the start of a cut every request was refused until the bound grew, and the bound then grew from zero. Change: requests that the reserve covers wait for the end of the grace; from then on the pace counts from the stamp.

--- a/src/grant_table.cc
+++ b/src/grant_table.cc
@@ -247,6 +247,12 @@
             UsedSince(budget) + amount <=
                 BoundAt(budget, loop_.now() - *stamped_at_));
   }
+  // Zero before the first stamp and once the grace has passed.
+  Millis TimeUntilGrace() const {
+    return IsBounded() ? std::max(Millis{0}, *stamped_at_ + kStampGrace -
+                                                 loop_.now())
+                       : Millis{0};
+  }
   void ServeWaiters(Budget& budget, Millis now, Tasks& tasks) const;
   Tokens UseIn(const Budget& budget, Millis time) const;
   Tokens UseOrFloor(const Budget& budget, Millis time) const;
@@ -359,15 +365,25 @@
     const auto refusal = KnownRefusal(budgets_[name], amount, *limit);
     const bool is_lost = is_ledger_lost_ && options_.refuses_while_lost &&
                          budgets_[name].in_flight;
-    if (is_stopping_ || is_lost || refusal) {
+    // While the ledger is lost, only the bound can begin to cover the request.
+    const Millis until_grace = TimeUntilGrace();
+    const bool can_wait = amount <= budgets_[name].free &&
+                          until_grace.count() > 0;
+    if (can_wait) {
+      wait = std::max(wait, until_grace);
+    }
+    if (is_stopping_ || (is_lost && !can_wait) || refusal) {
       EndWaiter(waiter, refusal.value_or(ReserveStatus::kUnavailable), tasks);
     } else {
       budgets_[name].waiters.push_back(std::move(waiter));
     }
   }
   PostAll(std::move(tasks));
-  loop_.after(wait,
-              Weakly([name, id](Core& it) { it.ExpireWaiter(name, id); }));
+  // Looks once more before the wait ends, when the bound may have grown.
+  loop_.after(wait, Weakly([name, id](Core& it) {
+                it.Pump(name);
+                it.ExpireWaiter(name, id);
+              }));
   PumpSoon(name);
 }
 
--- a/src/grant_table.h
+++ b/src/grant_table.h
@@ -71,7 +71,7 @@
   double armed_part = 0;
   // Pace of the bound, as a multiple of the recent rate, and what it is at
   // least, tokens a second.
-  double pace_factor = 2;
+  double pace_factor = 1.5;
   Tokens pace_floor = 0;
   // Use beyond this part of the limit is refused for good, and use below it,
   // if other holders have the tokens, for the moment.
--- a/src/shard_state.cc
+++ b/src/shard_state.cc
@@ -371,8 +371,9 @@
 
 Tokens UseBound(Tokens armed, Tokens pace, Millis since_stamp) {
   constexpr Tokens kMillisPerSecond = 1000;
-  const Millis beyond = std::max(Millis{0}, since_stamp - kStampGrace);
-  return armed + pace * beyond.count() / kMillisPerSecond;
+  return since_stamp < kStampGrace
+             ? armed
+             : armed + pace * since_stamp.count() / kMillisPerSecond;
 }
 
 bool MayClaimLater(const ShardReply& reply, std::uint64_t attempt) {
--- a/src/shard_state.h
+++ b/src/shard_state.h
@@ -226,12 +226,15 @@
 // it could then take the key, so its sender abandons it.
 bool MayClaimLater(const ShardReply& reply, std::uint64_t attempt);
 
-// A holder stamps its life at short intervals. At this time after a stamp it
-// may have lost the store, and its use is bounded by time.
+// A holder stamps its life at short intervals. From this time after its last
+// stamp on it may be cut off from the store, and its use is bounded by time. A
+// process that is killed and started again at once is back earlier, so nothing
+// but what was armed is lost with it.
 inline constexpr Millis kStampGrace{2000};
 
 // Most that a holder may have used beyond what is settled, `since_stamp` after
-// its last stamp: `armed` and, beyond the grace, `pace` for each second.
+// its last stamp: `armed` and, from the grace on, `pace` for each second since
+// the stamp.
 Tokens UseBound(Tokens armed, Tokens pace, Millis since_stamp);
 
 // limit - billed - open charges - outstanding grants; never negative.
