--- a/app/forwarding.cc
+++ b/app/forwarding.cc
@@ -164,6 +164,16 @@
     if (is_done_) {
       return;
     }
+    const auto view = context_->look(account_->name);
+    LogLine(LogEvent::kReservationRefused)
+        .Add("request", caller_.request_id)
+        .Add("account", account_->name)
+        .Add("tokens", amount)
+        .Add("free", view.free)
+        .Add("usable", view.usable)
+        .Add("available", view.available)
+        .Add("ledger_age_ms", view.age)
+        .Add("waited_ms", context_->loop.now() - arrived_);
     if (status == ReserveStatus::kInsufficient) {
       Fail({402, "budget_exhausted",
             fmt::format("the prepaid budget of \"{}\" does not cover {} tokens",
--- a/app/forwarding.h
+++ b/app/forwarding.h
@@ -33,6 +33,8 @@
                      Millis wait,
                      std::function<void(ReserveStatus)>)>
       reserve;
+  // What a refused reservation rested on, for logs.
+  std::function<BudgetView(const std::string& account)> look;
   // Ends a reservation; `used` of it is spent.
   std::function<
       void(const std::string& account, Tokens reserved, Tokens used)>
--- a/app/front.cc
+++ b/app/front.cc
@@ -262,6 +262,9 @@
                               Millis wait, auto callback) {
       grants->Reserve(account, amount, wait, std::move(callback));
     };
+    context->look = [this](const std::string& account) {
+      return grants->Look(account);
+    };
     context->settle = [this](const std::string& account, Tokens reserved,
                              Tokens used) {
       const auto key = RequestKey{QRandomGenerator::global()->generate64(),
--- a/src/grant_table.cc
+++ b/src/grant_table.cc
@@ -61,6 +61,8 @@
   Tokens available = -1;
   Tokens limit = 0;
   std::size_t other_holders = 0;
+  // When the last exchange was answered.
+  Millis answered_at{0};
   // Requests of this size and more are refused until then.
   Millis refuse_until{0};
   Tokens refuse_from = 0;
@@ -208,6 +210,7 @@
   void OnStamp(Millis now);
   void ReturnAll(std::function<void()> callback);
   std::vector<HeldGrant> Held() const;
+  BudgetView Look(const std::string& name) const;
   void SweepLater();
 
  private:
@@ -583,6 +586,23 @@
   return budget.rearm || is_held_up;
 }
 
+BudgetView GrantTable::Core::Look(const std::string& name) const {
+  const std::lock_guard lock(mutex_);
+  const auto it = budgets_.find(name);
+  if (it == budgets_.end()) {
+    return {};
+  }
+  const Budget& budget = it->second;
+  const Tokens bound =
+      IsBounded() ? BoundAt(budget, loop_.now() - *stamped_at_) -
+                        UsedSince(budget)
+                  : budget.free;
+  return {.free = budget.free,
+          .usable = std::clamp<Tokens>(bound, 0, budget.free),
+          .available = budget.available,
+          .age = loop_.now() - budget.answered_at};
+}
+
 bool GrantTable::Core::IsTight(const Budget& budget) const {
   return budget.available >= 0 &&
          static_cast<double>(budget.available) <
@@ -851,6 +871,7 @@
   budget.armed = sent.exchange.armed;
   budget.pace = sent.exchange.pace;
   budget.available = reply.available;
+  budget.answered_at = now;
   budget.limit = reply.limit;
   budget.other_holders = reply.other_holders.size();
   budget.free += reply.granted;
@@ -1028,6 +1049,10 @@
   core_->ReturnAll(std::move(callback));
 }
 
+BudgetView GrantTable::Look(const std::string& budget) const {
+  return core_->Look(budget);
+}
+
 std::vector<HeldGrant> GrantTable::Held() const {
   return core_->Held();
 }
--- a/src/grant_table.h
+++ b/src/grant_table.h
@@ -103,6 +103,17 @@
   auto operator<=>(const HeldGrant&) const = default;
 };
 
+// What a decision about a budget rests on.
+struct BudgetView {
+  // Granted and neither reserved nor used.
+  Tokens free = 0;
+  // Of these, what the bound on unsettled use lets through now.
+  Tokens usable = 0;
+  // Left in the ledger as of the last answer, and the age of that answer.
+  Tokens available = 0;
+  Millis age{0};
+};
+
 // Thread-safe. Callbacks run on the loop passed to the constructor.
 class GrantTable {
  public:
@@ -139,6 +150,7 @@
   void ReturnAll(std::function<void()> callback);
 
   std::vector<HeldGrant> Held() const;
+  BudgetView Look(const std::string& budget) const;
 
  private:
   struct Core;
--- a/src/log.cc
+++ b/src/log.cc
@@ -102,6 +102,7 @@
       {LogEvent::kRequestDispatched, LogLevel::kInfo, "request_dispatched"},
       {LogEvent::kDispatchEnded, LogLevel::kInfo, "dispatch_ended"},
       {LogEvent::kRequestEnded, LogLevel::kInfo, "request_ended"},
+      {LogEvent::kReservationRefused, LogLevel::kInfo, "reservation_refused"},
       {LogEvent::kBackendEjected, LogLevel::kWarning, "backend_ejected"},
       {LogEvent::kBackendReadmitted, LogLevel::kInfo, "backend_readmitted"},
       {LogEvent::kBackendLeaving, LogLevel::kInfo, "backend_leaving"},
--- a/src/log.h
+++ b/src/log.h
@@ -62,6 +62,7 @@
   kRequestDispatched = 605,
   kDispatchEnded = 606,
   kRequestEnded = 607,
+  kReservationRefused = 608,
   kBackendEjected = 700,
   kBackendReadmitted = 701,
   kBackendLeaving = 702,
