Try the same stamp until one is written

Change: a stamp is tried until it is written; answers that say that nothing was done do not count as contact; stamps every 0.7 s, so that hosts that lose power for 0.9 s are back within the grace.

--- a/app/front.cc
+++ b/app/front.cc
@@ -192,6 +192,7 @@
   void StartBudgets() {
     auto options = MakeShardWriterOptions();
     options.settle_delay = Millis{20};
+    options.retry_max = Millis{150};
     GrantTableOptions grant_options;
     grant_options.shard_count = kLedgerShards;
     grant_options.settle_period = Millis{10000};
@@ -290,7 +291,10 @@
   }
 
   void NoteStoreCall(std::string_view result) {
-    if (result.starts_with('2') || result.starts_with('4')) {
+    // Other statuses, such as 429 and 503, say that nothing was done.
+    const bool is_served = result.starts_with('2') || result == "404" ||
+                           result == "410" || result == "412";
+    if (is_served) {
       store_answered_at = loop.now();
     }
   }
--- a/app/holder_recovery.cc
+++ b/app/holder_recovery.cc
@@ -12,6 +12,11 @@
 namespace crocuslatch {
 namespace {
 
+struct HeldShard {
+  std::uint32_t number = 0;
+  std::string budgets;
+};
+
 class Recovery : public std::enable_shared_from_this<Recovery> {
  public:
   Recovery(HolderRecoveryOptions options,
@@ -76,8 +81,8 @@
     for (const auto& it : range.items) {
       try {
         const auto state = DecodeShardState(it.value);
-        if (HoldsTokens(state)) {
-          shards_.push_back(state.shard);
+        if (auto budgets = BudgetsHeld(state); !budgets.empty()) {
+          shards_.push_back({state.shard, std::move(budgets)});
         }
       } catch (const UserError& error) {
         LogLine(LogEvent::kShardUnreadable)
@@ -88,22 +93,24 @@
     ReclaimNext();
   }
 
-  bool HoldsTokens(const ShardState& state) const {
-    return std::ranges::any_of(state.budgets, [&](const auto& it) {
-      const auto grant = it.second.grants.find(previous_);
-      return grant != it.second.grants.end() && grant->second.outstanding > 0;
-    });
+  // Budgets of which the previous process has tokens, for logs.
+  std::string BudgetsHeld(const ShardState& state) const {
+    std::string names;
+    for (const auto& [name, budget] : state.budgets) {
+      const auto grant = budget.grants.find(previous_);
+      if (grant != budget.grants.end() && grant->second.outstanding > 0) {
+        names += names.empty() ? name : " " + name;
+      }
+    }
+    return names;
   }
 
   void ReclaimNext() {
     if (shards_.empty()) {
-      LogLine(LogEvent::kGrantsReclaimed)
-          .Add("holder", ToString(previous_))
-          .Add("tokens", reclaimed_);
       done_(version_);
       return;
     }
-    apply_(shards_.back(), {ReclaimCommand{previous_, lived_}}, options_.apply_timeout,
+    apply_(shards_.back().number, {ReclaimCommand{previous_, lived_}}, options_.apply_timeout,
            [self = shared_from_this()](LedgerStatus status,
                                        const std::vector<ShardReply>& replies) {
              if (status != LedgerStatus::kDurable) {
@@ -111,7 +118,10 @@
                self->Later(&Recovery::ReclaimNext);
                return;
              }
-             self->reclaimed_ += replies.front().granted;
+             LogLine(LogEvent::kGrantsReclaimed)
+                 .Add("holder", ToString(self->previous_))
+                 .Add("budgets", self->shards_.back().budgets)
+                 .Add("tokens", replies.front().granted);
              self->shards_.pop_back();
              self->ReclaimNext();
            });
@@ -131,8 +141,7 @@
   std::uint64_t version_ = 0;
   HolderId previous_;
   Millis lived_{0};
-  std::vector<std::uint32_t> shards_;
-  Tokens reclaimed_ = 0;
+  std::vector<HeldShard> shards_;
 };
 
 }  // namespace
--- a/app/stamp_writer.cc
+++ b/app/stamp_writer.cc
@@ -48,17 +48,9 @@
       // An earlier try has taken effect.
       version = result.version;
     }
-    Later(options.retry_delay, &Core::Retry);
-  }
-
-  // A write without an answer may still take effect. The same stamp is tried
-  // again, since a newer one would reset the bounds without need.
-  void Retry() {
-    if (loop.now() - stamped_at < options.longest_retry) {
-      Write();
-    } else {
-      Stamp();
-    }
+    // The same stamp until one is written: bounds grow from the last stamp that
+    // was tried, so that newer ones would hold them down during an outage.
+    Later(options.retry_delay, &Core::Write);
   }
 
   void Later(Millis delay, void (Core::*next)()) {
--- a/app/stamp_writer.h
+++ b/app/stamp_writer.h
@@ -16,11 +16,9 @@
 struct StampWriterOptions {
   // Key of the stamp in the store.
   std::string key;
-  Millis period{1000};
+  Millis period{700};
   // Pause before a stamp that was not written is tried again.
-  Millis retry_delay{300};
-  // The same stamp is tried again for this long, then a new one is made.
-  Millis longest_retry{1500};
+  Millis retry_delay{200};
 };
 
 struct StampWriterHooks {
--- a/core/host_stamp.h
+++ b/core/host_stamp.h
@@ -39,7 +39,7 @@
   Millis clock_tolerance{200};
   // What the time of day may have been set back by while the host was started
   // again, when no other clock is left.
-  Millis longest_step{600};
+  Millis longest_step{400};
   // Nothing is concluded about a longer time.
   Millis longest_life{std::chrono::minutes(10)};
 };
