Cut store calls: watch from the store's revision, cheap reads, random waits

Change: watches begin at the revision of the reading; before a write to a contended shard the cached state is refreshed by a cheap read; a lost write from a fresh state is followed by a random wait.

--- a/app/desired_state_follower.cc
+++ b/app/desired_state_follower.cc
@@ -45,7 +45,9 @@
       return;
     }
     Adopt(result.value);
-    Watch(result.version);
+    // From the revision of the reading: that of the item may be older than the
+    // store's history.
+    Watch(std::max(result.version, result.revision));
   }
 
   void Watch(std::uint64_t after) {
--- a/app/front.cc
+++ b/app/front.cc
@@ -51,14 +51,15 @@
 // counts as used if the host dies: a budget of which 3 in 100 are lost refuses
 // all that comes after the rest.
 constexpr Millis kArmedTime{2500};
-constexpr double kArmedPart = 0.002;
+constexpr double kArmedPart = 0.006;
 // Below this part of a budget no host keeps a reserve.
-constexpr double kLowPart = 0.05;
+constexpr double kLowPart = 0.1;
 // Pace at which an account may be used without the store, tokens a second: one
 // long prompt in five seconds.
 constexpr Tokens kPaceFloor = 4000;
-// About one request with a long prompt.
-constexpr Tokens kSpareFloor = 20000;
+// Most hosts see a few requests of an account in that time.
+constexpr double kSpareDeviations = 1.5;
+constexpr double kSpareRequests = 2;
 
 // Time that goes on while the host is suspended, so that whatever runs out is
 // judged by it.
@@ -193,12 +194,14 @@
     auto options = MakeShardWriterOptions();
     options.settle_delay = Millis{20};
     options.retry_max = Millis{150};
+    options.refresh_age = Millis{50};
     GrantTableOptions grant_options;
     grant_options.shard_count = kLedgerShards;
     grant_options.settle_period = Millis{10000};
     grant_options.use_window = Millis{5000};
     grant_options.spare_time = kSpareTime;
-    grant_options.spare_floor = kSpareFloor;
+    grant_options.spare_deviations = kSpareDeviations;
+    grant_options.spare_requests = kSpareRequests;
     grant_options.top_up_period = Millis{1500};
     grant_options.excess_factor = 1.5;
     grant_options.idle_return = Millis{10000};
--- a/src/grant_table.cc
+++ b/src/grant_table.cc
@@ -1,6 +1,7 @@
 #include "src/grant_table.h"
 
 #include <algorithm>
+#include <cmath>
 #include <deque>
 #include <map>
 #include <mutex>
@@ -18,6 +19,9 @@
 // The grant is refilled when less than this part of the recent use is free.
 constexpr Tokens kLowWaterDivisor = 4;
 
+// Weight of the latest request in the mean size of requests.
+constexpr double kMeanWeight = 0.1;
+
 // Shortest time over which a rate of use is taken.
 constexpr Millis kLeastUseTime{1000};
 
@@ -72,6 +76,8 @@
   Tokens limit_sent = 0;
   std::deque<Waiter> waiters;
   std::deque<Use> uses;
+  // Size of a typical request; 0 before the first.
+  double mean_request = 0;
   // First use that the window knows of.
   Millis used_since{0};
   Millis used_at{0};
@@ -143,6 +149,10 @@
 }
 
 void ReserveNow(Budget& budget, Tokens amount, Millis now) {
+  const auto size = static_cast<double>(amount);
+  budget.mean_request +=
+      budget.mean_request == 0 ? size
+                               : kMeanWeight * (size - budget.mean_request);
   budget.free -= amount;
   budget.reserved += amount;
   budget.used_at = now;
@@ -258,7 +268,7 @@
   }
   void ServeWaiters(Budget& budget, Millis now, Tasks& tasks) const;
   Tokens UseIn(const Budget& budget, Millis time) const;
-  Tokens UseOrFloor(const Budget& budget, Millis time) const;
+  Tokens LikelyUseIn(const Budget& budget, Millis time) const;
   Tokens ToArm(const Budget& budget, Tokens settled) const;
   Tokens Pace(const Budget& budget) const;
   bool NeedsRearm(const Budget& budget) const;
@@ -548,10 +558,14 @@
   return use * time.count() / seen.count();
 }
 
-// The same, and at least the floor if there was any use.
-Tokens GrantTable::Core::UseOrFloor(const Budget& budget, Millis time) const {
-  return std::max(UseIn(budget, time),
-                  budget.used_at.count() > 0 ? options_.spare_floor : 0);
+// The same with a margin for chance: the number of requests in a time varies
+// by the square root of its mean.
+Tokens GrantTable::Core::LikelyUseIn(const Budget& budget, Millis time) const {
+  const auto use = static_cast<double>(UseIn(budget, time));
+  const double mean = budget.mean_request;
+  return static_cast<Tokens>(
+      std::max(use + options_.spare_deviations * std::sqrt(use * mean),
+               options_.spare_requests * mean));
 }
 
 // The bound to tell the ledger with an exchange that settles `settled`.
@@ -614,7 +628,7 @@
 Tokens GrantTable::Core::SpareSize(const Budget& budget) const {
   const Millis now = loop_.now();
   const Tokens use = options_.spare_time.count() > 0
-                         ? UseOrFloor(budget, options_.spare_time)
+                         ? LikelyUseIn(budget, options_.spare_time)
                          : RecentUse(budget, now - options_.use_window);
   if (options_.reserve_part <= 0 || budget.available < 0) {
     return use;
--- a/src/grant_table.h
+++ b/src/grant_table.h
@@ -33,11 +33,12 @@
   Millis recall_poll{100};
   // Bills are settled as sums without their keys.
   bool settles_sums = false;
-  // What this holder keeps in reserve: the use of this time at the recent
-  // rate, and at least `spare_floor` where there was any. 0 means the use of
-  // the last window.
+  // What this holder keeps in reserve: the use of this time at the recent rate
+  // and this many standard deviations, and at least so many requests of typical
+  // size. 0 means the use of the last window.
   Millis spare_time{0};
-  Tokens spare_floor = 0;
+  double spare_deviations = 0;
+  double spare_requests = 0;
   // The reserve is at most this part of what the budget has left above
   // `low_part` of its limit; 0 means no such limit.
   double reserve_part = 0;
--- a/src/shard_writer.cc
+++ b/src/shard_writer.cc
@@ -26,6 +26,10 @@
 // answer.
 constexpr Millis kStorePatience{100};
 
+// Age up to which a cached state was current when a write began: two answers of
+// the store.
+constexpr Millis kFreshTime{20};
+
 // Time after a failed store call in which such claims do not wait at all.
 // Bounded, so that a shard without other commands asks the store again.
 constexpr Millis kOutageMemory{2000};
@@ -76,6 +80,10 @@
   // Earliest wake-up set for calls that may wait; max() if none.
   Millis wake_at = Millis::max();
   Millis used_at{0};
+  // When the cached state was the stored one, and when a write was last lost
+  // to another host's.
+  Millis fresh_at{0};
+  std::optional<Millis> conflict_at;
   // Last store call without an answer.
   std::optional<Millis> failed_at;
 };
@@ -564,11 +572,35 @@
       Load(shard);
     } else if (HasMissingSegments(*shard)) {
       LoadSegments(shard);
+    } else if (NeedsRefresh(*shard)) {
+      Refresh(shard);
     } else {
       Try(shard);
     }
   }
 
+  bool NeedsRefresh(const Shard& shard) const {
+    const Millis now = loop_.now();
+    return store_.peek && options_.refresh_age.count() > 0 &&
+           shard.conflict_at &&
+           now - *shard.conflict_at < options_.contention_time &&
+           now - shard.fresh_at > options_.refresh_age;
+  }
+
+  // What is read may be older than what is cached; the write itself decides.
+  void Refresh(const ShardPtr& shard) {
+    store_.peek(ShardKey(shard->number),
+                [self = shared_from_this(), shard](const StoreResult& result) {
+                  self->Note(*shard, result.status);
+                  shard->fresh_at = self->loop_.now();
+                  auto state = StateIn(shard->number, result);
+                  if (state && result.version > shard->version) {
+                    self->Adopt(*shard, std::move(*state), result.version);
+                  }
+                  self->Run(shard);
+                });
+  }
+
   void RunLater(const ShardPtr& shard) {
     After(shard, [self = shared_from_this(), shard] { self->Run(shard); });
   }
@@ -589,7 +621,7 @@
                [self = shared_from_this(), shard](const StoreResult& result) {
                  self->Note(*shard, result.status);
                  if (auto state = StateIn(shard->number, result)) {
-                   Adopt(*shard, std::move(*state), result.version);
+                   self->Adopt(*shard, std::move(*state), result.version);
                    self->Run(shard);
                  } else {
                    self->RunLater(shard);
@@ -597,8 +629,9 @@
                });
   }
 
-  static void Adopt(Shard& shard, ShardState state, std::uint64_t version) {
+  void Adopt(Shard& shard, ShardState state, std::uint64_t version) const {
     shard.loaded = true;
+    shard.fresh_at = loop_.now();
     shard.state = std::move(state);
     shard.version = version;
     const auto& listed = shard.state.segments;
@@ -715,7 +748,7 @@
       } else if (result.version == attempt->base_version) {
         self->Finish(shard, attempt);
       } else {
-        Adopt(*shard, std::move(*state), result.version);
+        self->Adopt(*shard, std::move(*state), result.version);
         self->Run(shard);
       }
     });
@@ -758,13 +791,9 @@
           }
           if (result.status == StoreStatus::kVersionConflict) {
             Log(LogEvent::kShardConflict, "{}", ShardKey(shard->number));
+            shard->conflict_at = self->loop_.now();
             if (!result.value.empty()) {
-              // The store has told the present value with the conflict.
-              if (!self->StopIfUnused(*shard)) {
-                self->OnReadBack(
-                    shard, attempt,
-                    {StoreStatus::kOk, result.version, result.value});
-              }
+              self->OnConflictValue(shard, attempt, result);
               return;
             }
           } else {
@@ -782,6 +811,29 @@
     });
   }
 
+  // The store has told the present value with the conflict. If the lost
+  // attempt began with a fresh state, several hosts write at the same moment,
+  // for example after an outage; the next try waits a random time.
+  void OnConflictValue(const ShardPtr& shard,
+                       const AttemptPtr& attempt,
+                       const StoreResult& result) {
+    if (StopIfUnused(*shard)) {
+      return;
+    }
+    const StoreResult present{.status = StoreStatus::kOk,
+                              .version = result.version,
+                              .value = result.value};
+    if (loop_.now() - shard->fresh_at > kFreshTime) {
+      OnReadBack(shard, attempt, present);
+      return;
+    }
+    After(shard, [self = shared_from_this(), shard, attempt, present] {
+      if (!self->StopIfUnused(*shard)) {
+        self->OnReadBack(shard, attempt, present);
+      }
+    });
+  }
+
   // True if no command of the shard waits any more.
   bool StopIfUnused(Shard& shard) {
     Expire(shard);
--- a/src/shard_writer.h
+++ b/src/shard_writer.h
@@ -20,6 +20,12 @@
   // Longest wait of exchanges for which no request waits; one write then
   // carries many budgets. Keeps each shard at a few writes a second.
   Millis settle_delay{200};
+  // While other hosts write a shard, its cached state is refreshed by a cheap
+  // read before a write if it is older than this; a conflict costs a whole
+  // write. 0 means never.
+  Millis refresh_age{0};
+  // How long a conflict shows that others write the shard.
+  Millis contention_time{10000};
   // Backoff after a conflict or a failed call doubles between the two.
   Millis retry_min{5};
   Millis retry_max{500};
--- a/src/store.h
+++ b/src/store.h
@@ -28,6 +28,8 @@
   // Version of the stored value; 0 if absent. On a conflict, the present one.
   std::uint64_t version = 0;
   std::string value;
+  // Revision of the store that a get reflects at least; 0 if it does not say.
+  std::uint64_t revision = 0;
   // What went wrong, for logs.
   std::string error;
 };
@@ -76,6 +78,10 @@
       remove;
   std::function<void(const std::string& prefix, StoreListCallback)> list;
 
+  // A cheap read of one key that may be seconds old. Empty if the store has no
+  // such call.
+  std::function<void(const std::string& key, StoreCallback)> peek;
+
   // All items under the prefix with their values. Empty if the store has no
   // such call.
   std::function<void(const std::string& prefix, StoreRangeCallback)> read_all;
