--- a/app/front.cc
+++ b/app/front.cc
@@ -76,6 +76,10 @@
       std::chrono::system_clock::now().time_since_epoch());
 }
 
+double RandomDouble() {
+  return QRandomGenerator::global()->generateDouble();
+}
+
 EventLoop MakeFrontLoop() {
   auto loop = MakeQtEventLoop();
   loop.now = &BootNow;
@@ -203,6 +207,7 @@
     grant_options.spare_deviations = kSpareDeviations;
     grant_options.spare_requests = kSpareRequests;
     grant_options.top_up_period = Millis{1500};
+    grant_options.random = &RandomDouble;
     grant_options.excess_factor = 1.5;
     grant_options.idle_return = Millis{10000};
     grant_options.recall_wait = Millis{0};
@@ -276,9 +281,7 @@
       grants->Settle(account, reserved, {key, used});
     };
     context->metrics = &counters;
-    context->random = [] {
-      return QRandomGenerator::global()->generateDouble();
-    };
+    context->random = &RandomDouble;
   }
 
   HttpLimits MakeLimits(const CallerLimits& limits) const {
--- a/src/grant_table.cc
+++ b/src/grant_table.cc
@@ -488,9 +488,13 @@
 }
 
 void GrantTable::Core::TopUpLater() {
-  if (options_.top_up_period.count() > 0) {
-    loop_.after(options_.top_up_period, Weakly([](Core& it) { it.TopUp(); }));
+  if (options_.top_up_period.count() == 0) {
+    return;
   }
+  const double factor = options_.random ? 0.5 + options_.random() : 1;
+  const auto delay = static_cast<double>(options_.top_up_period.count());
+  loop_.after(Millis{static_cast<Millis::rep>(delay * factor)},
+              Weakly([](Core& it) { it.TopUp(); }));
 }
 
 void GrantTable::Core::Recall(const std::string& name) {
--- a/src/grant_table.h
+++ b/src/grant_table.h
@@ -46,6 +46,9 @@
   // Every such period, reserves below `top_up_part` of their size are filled
   // up, many in one write; 0 means never.
   Millis top_up_period{0};
+  // Uniform in [0, 1): spreads the top-ups of hosts that started together, which
+  // otherwise write the same shards at the same moment.
+  std::function<double()> random;
   double top_up_part = 0.9;
   // At the same time, reserves above this multiple of their size are cut back
   // to it; 0 means never.
