--- a/app/forwarding.cc
+++ b/app/forwarding.cc
@@ -50,9 +50,7 @@
   Millis retry_after{0};
 };
 
-Failure Unavailable(std::string code,
-                    std::string message,
-                    Millis retry_after) {
+Failure Unavailable(std::string code, std::string message, Millis retry_after) {
   return {kUnavailable, std::move(code), std::move(message),
           "send the request again after the given time", retry_after};
 }
@@ -86,9 +84,8 @@
     if (!Route()) {
       return;
     }
-    const auto left =
-        std::min(caller_.time_limit.value_or(kDefaultTimeLimit),
-                 route_->timeout);
+    const auto left = std::min(caller_.time_limit.value_or(kDefaultTimeLimit),
+                               route_->timeout);
     deadline_ = arrived_ + left;
     context_->loop.after(left, [weak = weak_from_this()] {
       if (const auto self = weak.lock()) {
@@ -131,9 +128,9 @@
     if (service != nullptr && service->engine) {
       engine_ = *service->engine;
     }
-    can_repeat_ = route_->kind == RouteKind::kSafe ||
-                  (route_->kind == RouteKind::kStreaming &&
-                   route_->is_resumable);
+    can_repeat_ =
+        route_->kind == RouteKind::kSafe ||
+        (route_->kind == RouteKind::kStreaming && route_->is_resumable);
     return true;
   }
 
@@ -164,6 +161,39 @@
     if (is_done_) {
       return;
     }
+    if (status == ReserveStatus::kInsufficient) {
+      FailReservation(status, amount);
+      return;
+    }
+    context_->borrow(account_->name, amount,
+                     [self = shared_from_this(), status,
+                      amount](const std::optional<Loan>& loan) {
+                       self->OnLoan(loan, status, amount);
+                     });
+  }
+
+  void OnLoan(const std::optional<Loan>& loan,
+              ReserveStatus status,
+              Tokens amount) {
+    loan_ = loan;
+    if (is_done_) {
+      Settle();
+      return;
+    }
+    if (!loan) {
+      FailReservation(status, amount);
+      return;
+    }
+    LogLine(LogEvent::kTokensBorrowed)
+        .Add("request", caller_.request_id)
+        .Add("account", account_->name)
+        .Add("tokens", amount)
+        .Add("host", loan->host)
+        .Add("loan", loan->id);
+    Dispatch();
+  }
+
+  void FailReservation(ReserveStatus status, Tokens amount) {
     const auto view = context_->look(account_->name);
     LogLine(LogEvent::kReservationRefused)
         .Add("request", caller_.request_id)
@@ -199,10 +229,8 @@
       OnDeadline();
       return;
     }
-    const auto choice = context_->placement->Choose({.service = service_,
-                                                     .work = work(),
-                                                     .tried = &tried_,
-                                                     .now = now});
+    const auto choice = context_->placement->Choose(
+        {.service = service_, .work = work(), .tried = &tried_, .now = now});
     if (!choice) {
       FailDispatch("no_server", "no backend server can take the request");
       return;
@@ -223,8 +251,8 @@
          .server_id = server_id_,
          .client_account = account_ != nullptr ? account_->name : "",
          .priority = Priority(),
-         .last_event_id = is_streaming_ ? std::optional(last_event_id_)
-                                        : std::nullopt},
+         .last_event_id =
+             is_streaming_ ? std::optional(last_event_id_) : std::nullopt},
         headers);
     LogLine(LogEvent::kRequestDispatched)
         .Add("request", caller_.request_id)
@@ -261,16 +289,14 @@
                return response.request_id == id ||
                       (response.request_id.empty() && !IsSuccess(status));
              },
-         .on_headers = guard([](Forwarding& self, int status,
-                                const HttpHeaders& it) {
-           self.OnHeaders(status, it);
-         }),
-         .on_data = guard([](Forwarding& self, std::string_view it) {
-           self.OnData(it);
-         }),
-         .on_end = guard([](Forwarding& self, HttpEnd it) {
-           self.OnEnd(it);
-         })});
+         .on_headers =
+             guard([](Forwarding& self, int status, const HttpHeaders& it) {
+               self.OnHeaders(status, it);
+             }),
+         .on_data = guard(
+             [](Forwarding& self, std::string_view it) { self.OnData(it); }),
+         .on_end =
+             guard([](Forwarding& self, HttpEnd it) { self.OnEnd(it); })});
   }
 
   std::optional<int> Priority() const {
@@ -451,8 +477,10 @@
             "the time limit passed before the answer was whole",
             "the request may have run; check before sending it again"});
     } else {
-      Fail(Unavailable("timeout", "the time limit passed before the request "
-                       "could run", Millis{0}));
+      Fail(Unavailable("timeout",
+                       "the time limit passed before the request "
+                       "could run",
+                       Millis{0}));
     }
   }
 
@@ -467,15 +495,15 @@
     }
     const RequestError error(failure.status, Outcome::kNotRun, failure.code,
                              failure.message, failure.remedy);
-    reply_.SendWhole(failure.status,
-                     platform::RefusalHeaders(caller_.request_id,
-                                              failure.retry_after),
-                     ErrorBody(error));
+    reply_.SendWhole(
+        failure.status,
+        platform::RefusalHeaders(caller_.request_id, failure.retry_after),
+        ErrorBody(error));
     End(failure.code, failure.status);
   }
 
   void Settle() {
-    if (reserved_ == 0) {
+    if (reserved_ == 0 && !loan_) {
       return;
     }
     Tokens used = 0;
@@ -486,7 +514,11 @@
              std::min(delivered, caller_.work->max_output_tokens);
     }
     used_ = used;
-    context_->settle(account_->name, std::exchange(reserved_, 0), used);
+    if (loan_) {
+      context_->repay(*std::exchange(loan_, std::nullopt), used);
+    } else {
+      context_->settle(account_->name, std::exchange(reserved_, 0), used);
+    }
   }
 
   void End(std::string_view outcome, int status) {
@@ -503,9 +535,9 @@
         .Add("status", status)
         .Add("attempts", attempts_)
         .Add("events", events_)
-        .Add("first_event_ms",
-             first_event_at_.count() > 0 ? first_event_at_ - arrived_
-                                         : Millis{-1})
+        .Add("first_event_ms", first_event_at_.count() > 0
+                                   ? first_event_at_ - arrived_
+                                   : Millis{-1})
         .Add("took_ms", now - arrived_)
         .Add("prompt_tokens", caller_.work ? caller_.work->prompt_tokens : 0)
         .Add("max_output_tokens",
@@ -546,6 +578,7 @@
   std::optional<EngineSpec> engine_;
   bool can_repeat_ = false;
   Tokens reserved_ = 0;
+  std::optional<Loan> loan_;
   Tokens used_ = 0;
 
   // Of the present dispatch.
--- a/app/forwarding.h
+++ b/app/forwarding.h
@@ -3,8 +3,10 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
+#include "app/token_loans.h"
 #include "core/desired_state.h"
 #include "core/placement.h"
 #include "core/retry_budget.h"
@@ -33,11 +35,16 @@
                      Millis wait,
                      std::function<void(ReserveStatus)>)>
       reserve;
+  // Asks other hosts for tokens of a client account; see TokenLoans.
+  std::function<void(const std::string& account,
+                     Tokens amount,
+                     std::function<void(std::optional<Loan>)>)>
+      borrow;
+  std::function<void(const Loan& loan, Tokens used)> repay;
   // What a refused reservation rested on, for logs.
   std::function<BudgetView(const std::string& account)> look;
   // Ends a reservation; `used` of it is spent.
-  std::function<
-      void(const std::string& account, Tokens reserved, Tokens used)>
+  std::function<void(const std::string& account, Tokens reserved, Tokens used)>
       settle;
   // Uniform in [0, 1).
   std::function<double()> random;
--- a/app/front.cc
+++ b/app/front.cc
@@ -10,8 +10,11 @@
 #include "app/desired_state_follower.h"
 #include "app/forwarding.h"
 #include "app/holder_recovery.h"
+#include "app/host_directory.h"
+#include "app/relayed_store.h"
 #include "app/server_registry_reader.h"
 #include "app/stamp_writer.h"
+#include "app/token_loans.h"
 #include "io/http_client.h"
 #include "io/http_front.h"
 #include "platform/backend_entry_codec.h"
@@ -22,6 +25,7 @@
 #include "src/ip_endpoint.h"
 #include "src/log.h"
 #include "src/metrics.h"
+#include "src/peer_network.h"
 #include "src/shard_writer.h"
 
 namespace crocuslatch {
@@ -38,6 +42,13 @@
 constexpr Millis kStopPoll{50};
 // Kept free at the end of the grace time to return what is held.
 constexpr Millis kStopReserve{1000};
+constexpr std::string_view kHostsPrefix = "hosts/";
+constexpr std::string_view kSecretKey = "fleet/secret";
+// 256 bits.
+constexpr int kSecretWords = 4;
+constexpr Millis kSecretRetry{200};
+// Until both sides are authenticated; hosts are a millisecond apart.
+constexpr Millis kPeerConnectTimeout{300};
 // Ledger shards. Callers of an account stay with a few hosts, so a shard with
 // one account is rarely written by two hosts at once: with 2 shards for 10
 // accounts nearly every second write was lost to another host's.
@@ -47,9 +58,9 @@
 constexpr Millis kSpareTime{10000};
 // Most of what a budget has left that one host keeps in reserve.
 constexpr double kReservePart = 1.0 / 3;
-// Use that the ledger knows ahead of an exchange. More would save exchanges, but
-// counts as used if the host dies: a budget of which 3 in 100 are lost refuses
-// all that comes after the rest.
+// Use that the ledger knows ahead of an exchange. More would save exchanges,
+// but counts as used if the host dies: a budget of which 3 in 100 are lost
+// refuses all that comes after the rest.
 constexpr Millis kArmedTime{2500};
 constexpr double kArmedPart = 0.006;
 // Below this part of a budget no host keeps a reserve.
@@ -66,9 +77,8 @@
 Millis BootNow() {
   timespec now{};
   ::clock_gettime(CLOCK_BOOTTIME, &now);
-  return std::chrono::duration_cast<Millis>(std::chrono::seconds(now.tv_sec) +
-                                            std::chrono::nanoseconds(
-                                                now.tv_nsec));
+  return std::chrono::duration_cast<Millis>(
+      std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec));
 }
 
 Millis WallNow() {
@@ -98,16 +108,8 @@
   explicit Core(const FrontSettings& settings)
       : settings(settings),
         loop(MakeFrontLoop()),
-        store(platform::MakeKvStore(
-            {.address = settings.store_address,
-             .on_call =
-                 [this](std::string_view call, std::string_view result) {
-                   NoteStoreCall(result);
-                   counters.Count("store_calls", "call",
-                                  fmt::format("{}:{}", call, result));
-                 }},
-            loop,
-            &store_client)),
+        relayed_store({}, MakeOwnPath(), loop, MakeRelayHooks()),
+        store(relayed_store.port()),
         placement({}, settings.failure_domain),
         retries({.window = settings.retry_window,
                  .ratio = settings.retry_ratio * 0.85}),
@@ -119,6 +121,7 @@
   Metrics counters;
   HttpClient store_client;
   HttpClient client;
+  RelayedStore relayed_store;
   Store store;
   Placement placement;
   RetryBudget retries;
@@ -126,6 +129,9 @@
   const HostStamp started_at;
   std::unique_ptr<DesiredStateFollower> follower;
   std::unique_ptr<ServerRegistryReader> registry;
+  std::unique_ptr<HostDirectory> hosts;
+  std::unique_ptr<PeerNetwork> peers;
+  std::unique_ptr<TokenLoans> loans;
   std::unique_ptr<StampWriter> stamps;
   std::unique_ptr<GrantTable> grants;
   std::shared_ptr<ForwardContext> context;
@@ -137,7 +143,28 @@
   bool is_stopping = false;
   Millis stop_began{0};
 
+  Store MakeOwnPath() {
+    return platform::MakeKvStore(
+        {.address = settings.store_address,
+         .on_call =
+             [this](std::string_view call, std::string_view result) {
+               counters.Count("store_calls", "call",
+                              fmt::format("{}:{}", call, result));
+             }},
+        loop, &store_client);
+  }
+
+  RelayedStoreHooks MakeRelayHooks() {
+    return {.peers = [this] { return hosts->Others(); },
+            .random = &RandomDouble,
+            .on_contact = [this] { store_answered_at = loop.now(); }};
+  }
+
   void Start() {
+    hosts = std::make_unique<HostDirectory>(
+        HostDirectoryOptions{.prefix = std::string(kHostsPrefix),
+                             .own_host = settings.host_name},
+        store, loop);
     StartBudgets();
     StartContext();
     follower = std::make_unique<DesiredStateFollower>(
@@ -146,8 +173,8 @@
         store, loop, &platform::DecodeDesiredState,
         [this](const RoutingTablePointer& it) { OnDesiredState(it); });
     registry = std::make_unique<ServerRegistryReader>(
-        ServerRegistryReaderOptions{
-            .prefix = std::string(platform::kServersPrefix)},
+        ServerRegistryReaderOptions{.prefix =
+                                        std::string(platform::kServersPrefix)},
         store, loop, &platform::DecodeBackendEntry,
         [this](const auto& it) { placement.SetServers(it, loop.now()); });
     callers = std::make_unique<HttpFront>(
@@ -175,6 +202,8 @@
         .Add("store", settings.store_address);
     follower->Start();
     registry->Start();
+    hosts->Start();
+    ReadSecret();
     LogActivityLater();
   }
 
@@ -240,11 +269,100 @@
   HostStamp ReadClocks() const {
     return {.incarnation = holder.incarnation,
             .boot_time = BootNow(),
-            .wall_time = WallNow()};
+            .wall_time = WallNow(),
+            .peer_address = settings.peer_address};
+  }
+
+  // The secret by which hosts know each other lies in the store; the first
+  // host makes it.
+  void ReadSecret() {
+    store.get(std::string(kSecretKey),
+              [self = weak_from_this()](const StoreResult& it) {
+                const auto core = self.lock();
+                if (!core) {
+                  return;
+                }
+                if (it.status == StoreStatus::kOk) {
+                  core->StartPeers(it.value);
+                } else if (it.status == StoreStatus::kNotFound) {
+                  core->MakeSecret();
+                } else {
+                  core->ReadSecretLater();
+                }
+              });
+  }
+
+  void MakeSecret() {
+    std::string secret;
+    for (int i = 0; i < kSecretWords; ++i) {
+      secret +=
+          fmt::format("{:016x}", QRandomGenerator::system()->generate64());
+    }
+    // Whoever lost or got no answer reads what is there.
+    store.put(std::string(kSecretKey), secret, 0,
+              [self = weak_from_this()](const StoreResult&) {
+                if (const auto core = self.lock()) {
+                  core->ReadSecretLater();
+                }
+              });
+  }
+
+  void ReadSecretLater() {
+    loop.after(kSecretRetry, [self = weak_from_this()] {
+      if (const auto core = self.lock()) {
+        core->ReadSecret();
+      }
+    });
+  }
+
+  void StartPeers(const std::string& secret) {
+    const auto endpoint = ParseIpEndpoint(settings.peer_address);
+    CROCUSLATCH_ASSERT(endpoint.has_value());
+    PeerNetworkOptions options;
+    options.address = endpoint->address;
+    options.port = endpoint->port;
+    options.secret = secret;
+    options.own = {holder, WallNow().count()};
+    options.connect_timeout = kPeerConnectTimeout;
+    PeerNetworkHooks hooks;
+    hooks.address_of = [this](const std::string& host) {
+      return hosts->AddressOf(host);
+    };
+    hooks.on_message = [this](const std::string& host,
+                              const wire::Envelope& message,
+                              const auto& reply) {
+      if (!loans->OnMessage(host, message, reply)) {
+        relayed_store.OnMessage(message, reply);
+      }
+    };
+    try {
+      peers = std::make_unique<PeerNetwork>(options, hooks);
+    } catch (const UserError& error) {
+      // Requests are served without peers, too.
+      LogLine(LogEvent::kListenFailed)
+          .Add("message", error.what())
+          .Add("remedy", error.remedy());
+      return;
+    }
+    loans = std::make_unique<TokenLoans>(
+        TokenLoansOptions{}, loop, peers.get(),
+        TokenLoansHooks{
+            .peers = [this] { return hosts->Others(); },
+            .random = &RandomDouble,
+            .reserve =
+                [this](const std::string& budget, Tokens amount, double keep) {
+                  return grants->ReserveForOther(budget, amount, keep);
+                },
+            .settle =
+                [this](const std::string& budget, Tokens reserved,
+                       Tokens used) {
+                  context->settle(budget, reserved, used);
+                }});
+    relayed_store.SetNetwork(peers.get());
   }
 
   void StartStamps(const ApplyToShard& ledger) {
-    const auto key = "hosts/" + settings.host_name;
+    const auto key = std::string(kHostsPrefix) + settings.host_name;
     stamps = std::make_unique<StampWriter>(
         StampWriterOptions{.key = key}, store, loop,
         StampWriterHooks{
@@ -271,6 +389,17 @@
                               Millis wait, auto callback) {
       grants->Reserve(account, amount, wait, std::move(callback));
     };
+    context->borrow = [this](const std::string& account, Tokens amount,
+                             auto callback) {
+      if (!loans) {
+        callback(std::nullopt);
+        return;
+      }
+      loans->Borrow(account, amount, std::move(callback));
+    };
+    context->repay = [this](const Loan& loan, Tokens used) {
+      loans->Repay(loan, used);
+    };
     context->look = [this](const std::string& account) {
       return grants->Look(account);
     };
@@ -296,20 +425,9 @@
     callers->SetLimits(MakeLimits(table->state().limits));
   }
 
-  void NoteStoreCall(std::string_view result) {
-    // Other statuses, such as 429 and 503, say that nothing was done.
-    const bool is_served = result.starts_with('2') || result == "404" ||
-                           result == "410" || result == "412";
-    if (is_served) {
-      store_answered_at = loop.now();
-    }
-  }
-
   // True if the store has not answered for a while. Other hosts may reach it,
   // and only they can be granted tokens and learn of changes.
-  bool IsCutOff() const {
-    return loop.now() - store_answered_at > kCutOffTime;
-  }
+  bool IsCutOff() const { return loop.now() - store_answered_at > kCutOffTime; }
 
   std::string_view NotReadyReason() const {
     if (is_stopping) {
@@ -343,9 +461,7 @@
   void AnswerProbe(const IncomingRequest& request, HttpReply reply) {
     const bool is_probe = request.path == platform::kReadinessPath;
     UpdateReadiness();
-    const int status = !is_probe                   ? 404
-                       : not_ready_reason.empty() ? 200
-                                                   : 503;
+    const int status = !is_probe ? 404 : not_ready_reason.empty() ? 200 : 503;
     reply.SendWhole(status, {}, "");
   }
 
@@ -373,11 +489,11 @@
         .Add("requests_in_flight", callers->open_requests());
     UpdateReadiness();
     callers->KeepConnections(false);
-    loop.after(kOutOfRotation, [self = shared_from_this(),
-                                stopped = std::move(stopped)] {
-      self->callers->StopListening();
-      self->WaitForRequests(stopped);
-    });
+    loop.after(kOutOfRotation,
+               [self = shared_from_this(), stopped = std::move(stopped)] {
+                 self->callers->StopListening();
+                 self->WaitForRequests(stopped);
+               });
   }
 
   void WaitForRequests(const std::function<void()>& stopped) {
--- a/app/front_settings.cc
+++ b/app/front_settings.cc
@@ -43,6 +43,7 @@
     ReadAddress(reader, "callers", out.caller_address);
     ReadAddress(reader, "readiness", out.readiness_address);
     ReadAddress(reader, "metrics", out.metrics_address);
+    ReadAddress(reader, "peers", out.peer_address);
   });
   top.WithTable("store", Need::kRequired, [&](const toml::table& it) {
     TomlReader reader(it, "[store]", problems);
--- a/app/front_settings.h
+++ b/app/front_settings.h
@@ -18,6 +18,7 @@
   std::string caller_address;
   std::string readiness_address;
   std::string metrics_address;
+  std::string peer_address;
   std::string store_address;
   // From SIGTERM to SIGKILL.
   Millis grace{8000};
--- a/app/holder_recovery.cc
+++ b/app/holder_recovery.cc
@@ -110,7 +110,8 @@
       done_(version_);
       return;
     }
-    apply_(shards_.back().number, {ReclaimCommand{previous_, lived_}}, options_.apply_timeout,
+    apply_(shards_.back().number, {ReclaimCommand{previous_, lived_}},
+           options_.apply_timeout,
            [self = shared_from_this()](LedgerStatus status,
                                        const std::vector<ShardReply>& replies) {
              if (status != LedgerStatus::kDurable) {
@@ -128,9 +129,8 @@
   }
 
   void Later(void (Recovery::*next)()) {
-    loop_.after(options_.retry_delay, [self = shared_from_this(), next] {
-      (*self.*next)();
-    });
+    loop_.after(options_.retry_delay,
+                [self = shared_from_this(), next] { (*self.*next)(); });
   }
 
   const HolderRecoveryOptions options_;
--- /dev/null
+++ b/app/host_directory.cc
@@ -0,0 +1,90 @@
+#include "app/host_directory.h"
+
+#include <map>
+#include <utility>
+
+#include "core/host_stamp.h"
+#include "src/log.h"
+
+namespace crocuslatch {
+
+struct HostDirectory::Core : std::enable_shared_from_this<HostDirectory::Core> {
+  struct Host {
+    std::string address;
+    std::uint64_t version = 0;
+    Millis changed_at{0};
+  };
+
+  HostDirectoryOptions options;
+  Store store;
+  EventLoop loop;
+  std::map<std::string, Host> hosts;
+
+  void Read() {
+    store.read_all(options.prefix,
+                   [self = weak_from_this()](const StoreRange& it) {
+                     if (const auto core = self.lock()) {
+                       core->OnRead(it);
+                     }
+                   });
+  }
+
+  void OnRead(const StoreRange& range) {
+    if (range.status == StoreStatus::kOk) {
+      for (const auto& it : range.items) {
+        Note(it);
+      }
+      const Millis now = loop.now();
+      std::erase_if(hosts, [&](const auto& it) {
+        return now - it.second.changed_at > options.lost_after;
+      });
+    }
+    loop.after(options.period, [self = weak_from_this()] {
+      if (const auto core = self.lock()) {
+        core->Read();
+      }
+    });
+  }
+
+  void Note(const StoreItem& item) {
+    const auto stamp = DecodeHostStamp(item.value);
+    const auto name = item.key.substr(options.prefix.size());
+    if (!stamp || name == options.own_host) {
+      return;
+    }
+    auto& host = hosts[name];
+    if (host.version != item.version) {
+      host = {stamp->peer_address, item.version, loop.now()};
+    }
+  }
+};
+
+HostDirectory::HostDirectory(HostDirectoryOptions options,
+                             Store store,
+                             EventLoop loop)
+    : core_(std::make_shared<Core>()) {
+  core_->options = std::move(options);
+  core_->store = std::move(store);
+  core_->loop = std::move(loop);
+}
+
+HostDirectory::~HostDirectory() = default;
+
+void HostDirectory::Start() {
+  core_->Read();
+}
+
+std::vector<std::string> HostDirectory::Others() const {
+  std::vector<std::string> names;
+  for (const auto& [name, host] : core_->hosts) {
+    names.push_back(name);
+  }
+  return names;
+}
+
+std::string HostDirectory::AddressOf(const std::string& host) const {
+  const auto it = core_->hosts.find(host);
+  return it == core_->hosts.end() ? std::string() : it->second.address;
+}
+
+}  // namespace crocuslatch
--- /dev/null
+++ b/app/host_directory.h
@@ -0,0 +1,46 @@
+#ifndef APP_HOST_DIRECTORY_H_
+#define APP_HOST_DIRECTORY_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "src/event_loop.h"
+#include "src/store.h"
+
+// Defines the list of the other hosts, read from their stamps.
+
+namespace crocuslatch {
+
+struct HostDirectoryOptions {
+  // Prefix of the stamps in the store.
+  std::string prefix;
+  std::string own_host;
+  // Spacing of the readings.
+  Millis period{5000};
+  // A host whose stamp has not changed between readings for this long is left
+  // out.
+  Millis lost_after{20000};
+};
+
+class HostDirectory {
+ public:
+  HostDirectory(HostDirectoryOptions options, Store store, EventLoop loop);
+  ~HostDirectory();
+
+  void Start();
+  // Hosts that were stamped lately, without the own one. While the store is
+  // away these are the ones of the last reading.
+  std::vector<std::string> Others() const;
+  // Where the host listens for its peers; empty if unknown.
+  std::string AddressOf(const std::string& host) const;
+
+ private:
+  struct Core;
+  std::shared_ptr<Core> core_;
+};
+
+}  // namespace crocuslatch
+
+#endif  // APP_HOST_DIRECTORY_H_
--- /dev/null
+++ b/app/relayed_store.cc
@@ -0,0 +1,430 @@
+#include "app/relayed_store.h"
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <utility>
+
+#include "src/log.h"
+
+namespace crocuslatch {
+namespace {
+
+// One call of the port, in the form in which peers get it.
+struct Call {
+  wire::StoreCall kind = wire::StoreCall::Get;
+  // Key or prefix.
+  std::string key;
+  std::string value;
+  // Expected version, or the revision after which a watch begins.
+  std::uint64_t version = 0;
+  Millis wait{0};
+};
+
+// The answer in the form that all calls share.
+struct Answer {
+  StoreStatus status = StoreStatus::kUnknown;
+  std::uint64_t version = 0;
+  std::string value;
+  std::vector<StoreItem> items;
+  std::uint64_t revision = 0;
+  std::string error;
+};
+
+using OnAnswer = std::function<void(const Answer&)>;
+
+Answer FromResult(const StoreResult& it) {
+  return {.status = it.status,
+          .version = it.version,
+          .value = it.value,
+          .revision = it.revision,
+          .error = it.error};
+}
+
+Answer FromRange(const StoreRange& it) {
+  return {.status = it.status,
+          .items = it.items,
+          .revision = it.revision,
+          .error = it.error};
+}
+
+StoreResult ToResult(const Answer& it) {
+  return {.status = it.status,
+          .version = it.version,
+          .value = it.value,
+          .revision = it.revision,
+          .error = it.error};
+}
+
+StoreRange ToRange(const Answer& it) {
+  return {.status = it.status,
+          .items = it.items,
+          .revision = it.revision,
+          .error = it.error};
+}
+
+void Make(const Store& store, const Call& call, const OnAnswer& on_answer) {
+  const auto on_result = [on_answer](const StoreResult& it) {
+    on_answer(FromResult(it));
+  };
+  const auto on_range = [on_answer](const StoreRange& it) {
+    on_answer(FromRange(it));
+  };
+  switch (call.kind) {
+    case wire::StoreCall::Get:
+      store.get(call.key, on_result);
+      break;
+    case wire::StoreCall::Peek:
+      store.peek(call.key, on_result);
+      break;
+    case wire::StoreCall::Put:
+      store.put(call.key, call.value, call.version, on_result);
+      break;
+    case wire::StoreCall::Remove:
+      store.remove(call.key, call.version, on_result);
+      break;
+    case wire::StoreCall::ReadAll:
+      store.read_all(call.key, on_range);
+      break;
+    case wire::StoreCall::Watch:
+      store.watch(call.key, call.version, call.wait, on_range);
+      break;
+  }
+}
+
+std::string_view BytesOf(const flatbuffers::Vector<std::uint8_t>* bytes) {
+  return bytes == nullptr
+             ? std::string_view()
+             : std::string_view(reinterpret_cast<const char*>(bytes->data()),
+                                bytes->size());
+}
+
+auto PackBytes(flatbuffers::FlatBufferBuilder& builder,
+               std::string_view bytes) {
+  return builder.CreateVector(
+      reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size());
+}
+
+PackBody PackCall(const Call& call) {
+  return [call](flatbuffers::FlatBufferBuilder& builder) {
+    const auto key = builder.CreateString(call.key);
+    const auto value = PackBytes(builder, call.value);
+    return PackedBody{
+        wire::Body::StoreRequest,
+        wire::CreateStoreRequest(builder, call.kind, key, value, call.version,
+                                 static_cast<std::uint32_t>(call.wait.count()))
+            .Union()};
+  };
+}
+
+PackBody PackAnswer(const Answer& answer) {
+  return [answer](flatbuffers::FlatBufferBuilder& builder) {
+    std::vector<flatbuffers::Offset<wire::StoreItem>> items;
+    for (const auto& it : answer.items) {
+      const auto key = builder.CreateString(it.key);
+      const auto value = PackBytes(builder, it.value);
+      items.push_back(wire::CreateStoreItem(builder, key, it.version, value));
+    }
+    const auto packed_items = builder.CreateVector(items);
+    const auto value = PackBytes(builder, answer.value);
+    return PackedBody{
+        wire::Body::StoreReply,
+        wire::CreateStoreReply(
+            builder, static_cast<wire::StoreStatus>(answer.status),
+            answer.version, value, packed_items, answer.revision)
+            .Union()};
+  };
+}
+
+static_assert(static_cast<int>(wire::StoreStatus::Unknown) ==
+              static_cast<int>(StoreStatus::kUnknown));
+
+std::optional<Answer> ReadAnswer(const wire::Envelope* message) {
+  const auto* reply =
+      message == nullptr ? nullptr : message->body_as_StoreReply();
+  if (reply == nullptr || reply->status() > wire::StoreStatus::MAX) {
+    return std::nullopt;
+  }
+  Answer answer{.status = static_cast<StoreStatus>(reply->status()),
+                .version = reply->version(),
+                .value = std::string(BytesOf(reply->value())),
+                .revision = reply->revision()};
+  if (reply->items() != nullptr) {
+    for (const auto* it : *reply->items()) {
+      answer.items.push_back(
+          {it->key()->str(), it->version(), std::string(BytesOf(it->value()))});
+    }
+  }
+  return answer;
+}
+
+}  // namespace
+
+struct RelayedStore::Core : std::enable_shared_from_this<RelayedStore::Core> {
+  // One call under way by one path or both.
+  struct Pending {
+    Call call;
+    OnAnswer on_answer;
+    bool is_relayed = false;
+    // Paths that have not answered.
+    int open_paths = 0;
+    std::string error;
+  };
+  using PendingPtr = std::shared_ptr<Pending>;
+
+  RelayedStoreOptions options;
+  Store own;
+  EventLoop loop;
+  RelayedStoreHooks hooks;
+  PeerNetwork* network = nullptr;
+  bool is_broken = false;
+  Millis probed_at{0};
+  // Mean time of an answer by the own path.
+  double usual_ms = 0;
+  // The peer that helped last, and those that could not.
+  std::string relay;
+  std::map<std::string, Millis> avoid_until;
+
+  void Start(const Call& call, OnAnswer on_answer) {
+    const auto pending = std::make_shared<Pending>();
+    pending->call = call;
+    pending->on_answer = std::move(on_answer);
+    const Millis now = loop.now();
+    const bool use_own = network == nullptr || !is_broken ||
+                         now - probed_at > options.probe_period;
+    if (use_own) {
+      probed_at = now;
+      MakeOwn(pending);
+    }
+    if (is_broken) {
+      Relay(pending);
+    } else {
+      RelayAfterSilence(pending);
+    }
+    if (pending->open_paths == 0) {
+      loop.post(
+          [pending] { pending->on_answer({.error = "no path to the store"}); });
+    }
+  }
+
+  void MakeOwn(const PendingPtr& pending) {
+    ++pending->open_paths;
+    const Millis begun = loop.now();
+    Make(own, pending->call,
+         [self = weak_from_this(), pending, begun](const Answer& answer) {
+           if (const auto core = self.lock()) {
+             core->NoteAnswerTime(*pending, answer, core->loop.now() - begun);
+             core->SetBroken(answer.status == StoreStatus::kUnknown,
+                             answer.error);
+             core->OnPathEnd(pending, answer);
+           }
+         });
+  }
+
+  void NoteAnswerTime(const Pending& pending,
+                      const Answer& answer,
+                      Millis took) {
+    constexpr double kWeight = 0.2;
+    if (answer.status != StoreStatus::kUnknown &&
+        pending.call.wait.count() == 0) {
+      usual_ms += kWeight * (static_cast<double>(took.count()) - usual_ms);
+    }
+  }
+
+  void SetBroken(bool broken, const std::string& reason) {
+    if (broken == is_broken) {
+      return;
+    }
+    is_broken = broken;
+    LogLine(LogEvent::kStoreThroughPeer)
+        .Add("through_peers", broken && network != nullptr)
+        .Add("message", reason);
+  }
+
+  // A watch is silent for as long as nothing changes.
+  void RelayAfterSilence(const PendingPtr& pending) {
+    const Millis usual{
+        static_cast<Millis::rep>(options.hedge_factor * usual_ms)};
+    loop.after(std::max(options.hedge_after, usual) + pending->call.wait,
+               [self = weak_from_this(), pending] {
+                 const auto core = self.lock();
+                 if (core && pending->on_answer) {
+                   core->Relay(pending);
+                 }
+               });
+  }
+
+  void OnPathEnd(const PendingPtr& pending, const Answer& answer) {
+    --pending->open_paths;
+    if (!pending->on_answer) {
+      return;
+    }
+    if (answer.status != StoreStatus::kUnknown) {
+      hooks.on_contact();
+    } else {
+      pending->error = answer.error.empty() ? pending->error : answer.error;
+      Relay(pending);
+      if (pending->open_paths > 0) {
+        return;
+      }
+    }
+    Answer last = answer;
+    last.error = pending->error;
+    // The hook may start the next call.
+    const auto hook = std::exchange(pending->on_answer, nullptr);
+    hook(last);
+  }
+
+  void Relay(const PendingPtr& pending) {
+    if (pending->is_relayed || network == nullptr) {
+      return;
+    }
+    pending->is_relayed = true;
+    auto peers = PeersToAsk();
+    if (peers.empty()) {
+      return;
+    }
+    ++pending->open_paths;
+    Ask(pending, std::move(peers));
+  }
+
+  // The last of the list is asked first.
+  std::vector<std::string> PeersToAsk() {
+    const Millis now = loop.now();
+    std::vector<std::pair<double, std::string>> keyed;
+    for (auto& it : hooks.peers()) {
+      const auto found = avoid_until.find(it);
+      if (found == avoid_until.end() || now >= found->second) {
+        keyed.emplace_back(it == relay ? 1.0 : hooks.random(), it);
+      }
+    }
+    std::ranges::sort(keyed);
+    std::vector<std::string> peers;
+    for (auto& it : keyed) {
+      peers.push_back(std::move(it.second));
+    }
+    if (peers.size() > options.max_peers) {
+      peers.erase(peers.begin(),
+                  peers.end() - static_cast<std::ptrdiff_t>(options.max_peers));
+    }
+    return peers;
+  }
+
+  void Ask(const PendingPtr& pending, std::vector<std::string> peers) {
+    const auto host = std::move(peers.back());
+    peers.pop_back();
+    network->Request(
+        host, PackCall(pending->call),
+        options.peer_timeout + pending->call.wait,
+        [self = weak_from_this(), pending, host,
+         peers = std::move(peers)](const wire::Envelope* message) {
+          const auto core = self.lock();
+          if (!core) {
+            return;
+          }
+          const auto answer = ReadAnswer(message);
+          if (answer && answer->status != StoreStatus::kUnknown) {
+            core->relay = host;
+            core->OnPathEnd(pending, *answer);
+            return;
+          }
+          core->avoid_until[host] = core->loop.now() + core->options.avoid_time;
+          if (peers.empty() || !pending->on_answer) {
+            core->OnPathEnd(pending, {.error = "no peer reaches the store"});
+            return;
+          }
+          core->Ask(pending, peers);
+        });
+  }
+};
+
+RelayedStore::RelayedStore(RelayedStoreOptions options,
+                           Store own_path,
+                           EventLoop loop,
+                           RelayedStoreHooks hooks)
+    : core_(std::make_shared<Core>()) {
+  core_->options = options;
+  core_->own = std::move(own_path);
+  core_->loop = std::move(loop);
+  core_->hooks = std::move(hooks);
+}
+
+RelayedStore::~RelayedStore() = default;
+
+void RelayedStore::SetNetwork(PeerNetwork* network) {
+  core_->network = network;
+}
+
+Store RelayedStore::port() {
+  const auto start = [core = core_](
+                         wire::StoreCall kind, const std::string& key,
+                         OnAnswer on_answer, std::string value = {},
+                         std::uint64_t version = 0, Millis wait = {}) {
+    core->Start({kind, key, std::move(value), version, wait},
+                std::move(on_answer));
+  };
+  const auto to_result = [](StoreCallback callback) {
+    return [callback = std::move(callback)](const Answer& it) {
+      callback(ToResult(it));
+    };
+  };
+  const auto to_range = [](StoreRangeCallback callback) {
+    return [callback = std::move(callback)](const Answer& it) {
+      callback(ToRange(it));
+    };
+  };
+  using Kind = wire::StoreCall;
+  Store port;
+  port.get = [=](const auto& key, const auto& callback) {
+    start(Kind::Get, key, to_result(callback));
+  };
+  port.peek = [=](const auto& key, const auto& callback) {
+    start(Kind::Peek, key, to_result(callback));
+  };
+  port.put = [=](const auto& key, const auto& value, auto expected,
+                 const auto& callback) {
+    start(Kind::Put, key, to_result(callback), value, expected);
+  };
+  port.remove = [=](const auto& key, auto expected, const auto& callback) {
+    start(Kind::Remove, key, to_result(callback), {}, expected);
+  };
+  port.read_all = [=](const auto& prefix, const auto& callback) {
+    start(Kind::ReadAll, prefix, to_range(callback));
+  };
+  port.watch = [=](const auto& prefix, auto after, Millis wait,
+                   const auto& callback) {
+    start(Kind::Watch, prefix, to_range(callback), {}, after, wait);
+  };
+  port.list = [read_all = port.read_all](const auto& prefix,
+                                         const auto& callback) {
+    read_all(prefix, [callback](const StoreRange& range) {
+      std::vector<StoreEntry> entries;
+      for (const auto& it : range.items) {
+        entries.push_back({it.key, it.version});
+      }
+      callback(range.status, entries);
+    });
+  };
+  return port;
+}
+
+bool RelayedStore::OnMessage(
+    const wire::Envelope& message,
+    const std::function<void(const PackBody&)>& reply) {
+  const auto* request = message.body_as_StoreRequest();
+  if (request == nullptr) {
+    return false;
+  }
+  if (core_->is_broken || request->call() > wire::StoreCall::MAX) {
+    reply(PackAnswer({}));
+    return true;
+  }
+  Make(core_->own,
+       {request->call(), request->key()->str(),
+        std::string(BytesOf(request->value())), request->version(),
+        Millis{request->wait_ms()}},
+       [reply](const Answer& it) { reply(PackAnswer(it)); });
+  return true;
+}
+
+}  // namespace crocuslatch
--- /dev/null
+++ b/app/relayed_store.h
@@ -0,0 +1,71 @@
+#ifndef APP_RELAYED_STORE_H_
+#define APP_RELAYED_STORE_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "src/event_loop.h"
+#include "src/peer_network.h"
+#include "src/store.h"
+
+// Defines a store port that goes through peers while the own path to the store
+// is broken.
+//
+// Every call of the port may be made twice, once by each path: reads change
+// nothing, and a write takes effect once, since its condition does not hold a
+// second time. A writer finds by a lost condition that its own value is there.
+
+namespace crocuslatch {
+
+struct RelayedStoreOptions {
+  // Silence of a call after which a peer is asked, too: this time and at least
+  // this multiple of a usual answer, so that a slow store is not asked twice.
+  Millis hedge_after{150};
+  double hedge_factor = 3;
+  // Longest wait for a peer beyond what the call itself may wait.
+  Millis peer_timeout{600};
+  // After a failed call the own path is tried again at this spacing; calls
+  // between go to peers at once.
+  Millis probe_period{500};
+  // Peers that are asked for one call.
+  std::size_t max_peers = 3;
+  // A peer that could not help is asked last for this time.
+  Millis avoid_time{1000};
+};
+
+struct RelayedStoreHooks {
+  std::function<std::vector<std::string>()> peers;
+  // Uniform in [0, 1).
+  std::function<double()> random;
+  // The store has answered by one of the paths.
+  std::function<void()> on_contact;
+};
+
+class RelayedStore {
+ public:
+  // `network` may be set later; without it every call takes the own path.
+  RelayedStore(RelayedStoreOptions options,
+               Store own_path,
+               EventLoop loop,
+               RelayedStoreHooks hooks);
+  ~RelayedStore();
+
+  void SetNetwork(PeerNetwork* network);
+
+  // The port to use instead of the own path.
+  Store port();
+
+  // Makes a peer's call by the own path; false if the message is none.
+  bool OnMessage(const wire::Envelope& message,
+                 const std::function<void(const PackBody&)>& reply);
+
+ private:
+  struct Core;
+  std::shared_ptr<Core> core_;
+};
+
+}  // namespace crocuslatch
+
+#endif  // APP_RELAYED_STORE_H_
--- a/app/server_registry_reader.cc
+++ b/app/server_registry_reader.cc
@@ -25,12 +25,12 @@
 
   void Read() {
     const Millis asked_at = loop.now();
-    store.read_all(options.prefix, [self = weak_from_this(),
-                                    asked_at](const StoreRange& it) {
-      if (const auto core = self.lock()) {
-        core->OnRead(asked_at, it);
-      }
-    });
+    store.read_all(options.prefix,
+                   [self = weak_from_this(), asked_at](const StoreRange& it) {
+                     if (const auto core = self.lock()) {
+                       core->OnRead(asked_at, it);
+                     }
+                   });
   }
 
   void OnRead(Millis asked_at, const StoreRange& range) {
--- a/app/server_registry_reader.h
+++ b/app/server_registry_reader.h
@@ -30,8 +30,9 @@
 
 class ServerRegistryReader {
  public:
-  using Decode = std::function<std::optional<BackendEntry>(
-      std::string_view key, std::string_view value)>;
+  using Decode =
+      std::function<std::optional<BackendEntry>(std::string_view key,
+                                                std::string_view value)>;
   using OnEntries = std::function<void(const std::vector<BackendEntry>&)>;
 
   ServerRegistryReader(ServerRegistryReaderOptions options,
--- a/core/desired_state.cc
+++ b/core/desired_state.cc
@@ -60,10 +60,9 @@
   if (found == routes_.end()) {
     return nullptr;
   }
-  const auto it =
-      std::ranges::find_if(found->second, [&](const RouteSpec* route) {
-        return path.starts_with(route->prefix);
-      });
+  const auto it = std::ranges::find_if(
+      found->second,
+      [&](const RouteSpec* route) { return path.starts_with(route->prefix); });
   return it == found->second.end() ? nullptr : *it;
 }
 
--- a/core/host_stamp.cc
+++ b/core/host_stamp.cc
@@ -9,8 +9,9 @@
 namespace crocuslatch {
 
 std::string EncodeHostStamp(const HostStamp& stamp) {
-  return fmt::format("1 {:016x} {} {}", stamp.incarnation,
-                     stamp.boot_time.count(), stamp.wall_time.count());
+  return fmt::format("1 {:016x} {} {} {}", stamp.incarnation,
+                     stamp.boot_time.count(), stamp.wall_time.count(),
+                     stamp.peer_address);
 }
 
 std::optional<HostStamp> DecodeHostStamp(std::string_view text) {
@@ -29,11 +30,12 @@
     }
     result = std::from_chars(result.ptr + 1, end, it);
   }
-  if (result.ec != std::errc() || result.ptr != end) {
+  if (result.ec != std::errc() || result.ptr == end || *result.ptr != ' ') {
     return std::nullopt;
   }
   stamp.boot_time = Millis{times[0]};
   stamp.wall_time = Millis{times[1]};
+  stamp.peer_address = std::string(result.ptr + 1, end);
   return stamp;
 }
 
--- a/core/host_stamp.h
+++ b/core/host_stamp.h
@@ -27,6 +27,8 @@
   Millis boot_time{0};
   // Time of day since 1970. Can be set forward and backward.
   Millis wall_time{0};
+  // "<IP number>:<port>" where the process listens for its peers.
+  std::string peer_address;
   bool operator==(const HostStamp&) const = default;
 };
 
--- a/core/placement.cc
+++ b/core/placement.cc
@@ -160,7 +160,8 @@
       it.cost *= 2;
     }
   }
-  const auto& best = *std::ranges::min_element(candidates, {}, &Candidate::cost);
+  const auto& best =
+      *std::ranges::min_element(candidates, {}, &Candidate::cost);
   return PlacementChoice{.server_id = best.server->entry.id,
                          .address = best.server->entry.address,
                          .expected_ms = best.cost,
--- a/core/placement.h
+++ b/core/placement.h
@@ -103,9 +103,7 @@
 
   using Ticket = std::uint64_t;
   // A dispatch begins. Every ticket is ended by End.
-  Ticket Begin(const std::string& server_id,
-               const ModelWork* work,
-               Millis now);
+  Ticket Begin(const std::string& server_id, const ModelWork* work, Millis now);
   // The server has begun to answer: its prompt is read.
   void OnFirstByte(Ticket ticket, Millis now);
   void End(Ticket ticket, DispatchResult result, Millis now);
--- a/io/http_client.cc
+++ b/io/http_client.cc
@@ -204,15 +204,15 @@
     is_skipping_ = false;
     parser_ = std::make_unique<HttpResponseParser>(
         has_no_body_,
-        HttpResponseHooks{
-            .on_head = [this](const auto& head) { OnHead(head); },
-            .on_body =
-                [this](std::string_view bytes) {
-                  if (call_ && !is_skipping_ && call_->hooks->on_data) {
-                    const auto hooks = call_->hooks;
-                    hooks->on_data(bytes);
-                  }
-                }});
+        HttpResponseHooks{.on_head = [this](const auto& head) { OnHead(head); },
+                          .on_body =
+                              [this](std::string_view bytes) {
+                                if (call_ && !is_skipping_ &&
+                                    call_->hooks->on_data) {
+                                  const auto hooks = call_->hooks;
+                                  hooks->on_data(bytes);
+                                }
+                              }});
   }
 
   void OnConnected() {
--- a/io/http_front.cc
+++ b/io/http_front.cc
@@ -549,9 +549,7 @@
   void Accept(qintptr descriptor) {
     auto* socket = new CallerSocket(
         descriptor, &limits_,
-        [this](CallerSocket& it, const auto& request) {
-          Handle(it, request);
-        },
+        [this](CallerSocket& it, const auto& request) { Handle(it, request); },
         [this](CallerSocket* it) { sockets_.erase(it); });
     if (!socket->is_valid()) {
       ::close(static_cast<int>(descriptor));
@@ -579,8 +577,8 @@
     const Millis shortest =
         std::min({limits_.header_timeout, limits_.request_timeout,
                   limits_.idle_timeout});
-    sweep_.start(std::clamp(shortest / kSweepsPerTimeout, Millis{1},
-                            kLongestSweep));
+    sweep_.start(
+        std::clamp(shortest / kSweepsPerTimeout, Millis{1}, kLongestSweep));
   }
 
   void Sweep() {
--- a/io/http_message.cc
+++ b/io/http_message.cc
@@ -43,13 +43,17 @@
 }
 
 bool IsHopByHop(std::string_view name, std::string_view connection) {
-  constexpr std::array<std::string_view, 9> kFixed{
-      "Connection",          "Keep-Alive",        "Proxy-Authenticate",
-      "Proxy-Authorization", "Proxy-Connection",  "TE",
-      "Trailer",             "Transfer-Encoding", "Upgrade"};
+  constexpr std::array<std::string_view, 9> kFixed{"Connection",
+                                                   "Keep-Alive",
+                                                   "Proxy-Authenticate",
+                                                   "Proxy-Authorization",
+                                                   "Proxy-Connection",
+                                                   "TE",
+                                                   "Trailer",
+                                                   "Transfer-Encoding",
+                                                   "Upgrade"};
   return std::ranges::any_of(
-             kFixed,
-             [&](auto it) { return EqualsIgnoringCase(it, name); }) ||
+             kFixed, [&](auto it) { return EqualsIgnoringCase(it, name); }) ||
          HasToken(connection, name);
 }
 
--- a/io/tcp_socket.cc
+++ b/io/tcp_socket.cc
@@ -52,8 +52,7 @@
   Close();
 }
 
-void TcpSocket::Connect(const IpEndpoint& peer,
-                        Millis unacknowledged_timeout) {
+void TcpSocket::Connect(const IpEndpoint& peer, Millis unacknowledged_timeout) {
   const auto address = MakeSocketAddress(peer);
   if (address.size > 0) {
     descriptor_ = ::socket(address.storage.ss_family,
@@ -77,10 +76,10 @@
     QTimer::singleShot(0, &context_, [this] { End(TcpEnd::kConnectFailed); });
     return;
   }
-  readable_ = std::make_unique<QSocketNotifier>(descriptor_,
-                                                QSocketNotifier::Read);
-  writable_ = std::make_unique<QSocketNotifier>(descriptor_,
-                                                QSocketNotifier::Write);
+  readable_ =
+      std::make_unique<QSocketNotifier>(descriptor_, QSocketNotifier::Read);
+  writable_ =
+      std::make_unique<QSocketNotifier>(descriptor_, QSocketNotifier::Write);
   readable_->setEnabled(false);
   QObject::connect(readable_.get(), &QSocketNotifier::activated,
                    readable_.get(), [this] { OnReadable(); });
@@ -145,8 +144,8 @@
 
 void TcpSocket::Flush() {
   while (!unsent_.empty()) {
-    const auto n = ::send(descriptor_, unsent_.data(), unsent_.size(),
-                          MSG_NOSIGNAL);
+    const auto n =
+        ::send(descriptor_, unsent_.data(), unsent_.size(), MSG_NOSIGNAL);
     if (n < 0) {
       // A reset is found by the next read, after what came before it.
       break;
--- a/src/admin_api.h
+++ b/src/admin_api.h
@@ -4,8 +4,8 @@
 #include <functional>
 #include <string>
 
-#include "src/config_keeper.h"
 #include "io/http_front.h"
+#include "src/config_keeper.h"
 
 // Defines the administration interface: the document, reports, health,
 // metrics and the planned stop. docs/design.md section 10 lists the paths.
--- a/src/daemon_main.cc
+++ b/src/daemon_main.cc
@@ -89,7 +89,7 @@
   crocuslatch::Router router(settings,
                              [] { QCoreApplication::exit(kExitFailed); });
   const int exit_code = RunUntilStopped(
-      [&](std::function<void()> stopped) { router.Stop(std::move(stopped)); },
+      [&](const std::function<void()>& stopped) { router.Stop(stopped); },
       [&] {
         crocuslatch::LogLine(crocuslatch::LogEvent::kSettingsReloaded)
             .Add("message", "settings take effect at the next start");
--- a/src/grant_table.cc
+++ b/src/grant_table.cc
@@ -150,9 +150,9 @@
 
 void ReserveNow(Budget& budget, Tokens amount, Millis now) {
   const auto size = static_cast<double>(amount);
-  budget.mean_request +=
-      budget.mean_request == 0 ? size
-                               : kMeanWeight * (size - budget.mean_request);
+  budget.mean_request += budget.mean_request == 0
+                             ? size
+                             : kMeanWeight * (size - budget.mean_request);
   budget.free -= amount;
   budget.reserved += amount;
   budget.used_at = now;
@@ -172,8 +172,8 @@
     return bound;
   }
   const auto& sent = budget.in_flight->exchange;
-  return std::min(
-      bound, UseBound(sent.armed, sent.pace, since_stamp) + sent.settled);
+  return std::min(bound,
+                  UseBound(sent.armed, sent.pace, since_stamp) + sent.settled);
 }
 
 // Refuses what is at least as large as the first waiter and was there when
@@ -213,6 +213,9 @@
                Tokens amount,
                Millis wait,
                std::function<void(ReserveStatus)> callback);
+  bool ReserveForOther(const std::string& name,
+                       Tokens amount,
+                       double keep_part);
   void Settle(const std::string& name, Tokens reserved, const Bill& bill);
   void Recall(const std::string& name);
   void TopUpLater();
@@ -251,20 +254,17 @@
   bool TryReserve(const std::string& name, Tokens amount);
   bool IsTight(const Budget& budget) const;
   // Before the first stamp nothing can be taken back, so nothing is bounded.
-  bool IsBounded() const {
-    return stamped_at_ && options_.has_use_bounds;
-  }
+  bool IsBounded() const { return stamped_at_ && options_.has_use_bounds; }
   bool CanReserve(const Budget& budget, Tokens amount) const {
     return amount <= budget.free &&
-           (!IsBounded() ||
-            UsedSince(budget) + amount <=
-                BoundAt(budget, loop_.now() - *stamped_at_));
+           (!IsBounded() || UsedSince(budget) + amount <=
+                                BoundAt(budget, loop_.now() - *stamped_at_));
   }
   // Zero before the first stamp and once the grace has passed.
   Millis TimeUntilGrace() const {
-    return IsBounded() ? std::max(Millis{0}, *stamped_at_ + kStampGrace -
-                                                 loop_.now())
-                       : Millis{0};
+    return IsBounded()
+               ? std::max(Millis{0}, *stamped_at_ + kStampGrace - loop_.now())
+               : Millis{0};
   }
   void ServeWaiters(Budget& budget, Millis now, Tasks& tasks) const;
   Tokens UseIn(const Budget& budget, Millis time) const;
@@ -380,8 +380,8 @@
                          budgets_[name].in_flight;
     // While the ledger is lost, only the bound can begin to cover the request.
     const Millis until_grace = TimeUntilGrace();
-    const bool can_wait = amount <= budgets_[name].free &&
-                          until_grace.count() > 0;
+    const bool can_wait =
+        amount <= budgets_[name].free && until_grace.count() > 0;
     if (can_wait) {
       wait = std::max(wait, until_grace);
     }
@@ -400,6 +400,23 @@
   PumpSoon(name);
 }
 
+bool GrantTable::Core::ReserveForOther(const std::string& name,
+                                       Tokens amount,
+                                       double keep_part) {
+  const std::lock_guard lock(mutex_);
+  const auto it = budgets_.find(name);
+  if (is_stopping_ || it == budgets_.end() || !it->second.waiters.empty()) {
+    return false;
+  }
+  const auto keep = static_cast<Tokens>(
+      keep_part * static_cast<double>(SpareSize(it->second)));
+  if (!CanReserve(it->second, amount) || it->second.free - amount < keep) {
+    return false;
+  }
+  ReserveNow(it->second, amount, loop_.now());
+  return true;
+}
+
 void GrantTable::Core::Settle(const std::string& name,
                               Tokens reserved,
                               const Bill& bill) {
@@ -423,9 +440,10 @@
       } else {
         budget.bills.push_back({bill.key, amount});
       }
-      budget.settle_at = std::min(
-          budget.settle_at, now + (IsTight(budget) ? options_.tight_settle_period
-                                                   : options_.settle_period));
+      budget.settle_at =
+          std::min(budget.settle_at,
+                   now + (IsTight(budget) ? options_.tight_settle_period
+                                          : options_.settle_period));
       AddUse(budget, amount, now, options_.use_window);
     }
   }
@@ -447,8 +465,8 @@
       }
       budget.top_up = free < options_.top_up_part * spare && !is_idle &&
                       loop_.now() >= budget.refill_after;
-      budget.has_excess = options_.excess_factor > 0 &&
-                          free > options_.excess_factor * spare;
+      budget.has_excess =
+          options_.excess_factor > 0 && free > options_.excess_factor * spare;
       if (budget.top_up || budget.has_excess) {
         names.push_back(name);
       }
@@ -557,8 +575,8 @@
 Tokens GrantTable::Core::UseIn(const Budget& budget, Millis time) const {
   const Millis now = loop_.now();
   const Tokens use = RecentUse(budget, now - options_.use_window);
-  const Millis seen = std::clamp(now - budget.used_since, kLeastUseTime,
-                                 options_.use_window);
+  const Millis seen =
+      std::clamp(now - budget.used_since, kLeastUseTime, options_.use_window);
   return use * time.count() / seen.count();
 }
 
@@ -591,16 +609,14 @@
   if (!options_.has_use_bounds) {
     return 0;
   }
-  const auto rate =
-      static_cast<double>(UseIn(budget, std::chrono::seconds(1)));
+  const auto rate = static_cast<double>(UseIn(budget, std::chrono::seconds(1)));
   return std::max(static_cast<Tokens>(rate * options_.pace_factor),
                   options_.pace_floor);
 }
 
 bool GrantTable::Core::NeedsRearm(const Budget& budget) const {
-  const bool is_held_up =
-      IsBounded() &&
-      !budget.waiters.empty() && budget.waiters.front().amount <= budget.free;
+  const bool is_held_up = IsBounded() && !budget.waiters.empty() &&
+                          budget.waiters.front().amount <= budget.free;
   return budget.rearm || is_held_up;
 }
 
@@ -612,9 +628,9 @@
   }
   const Budget& budget = it->second;
   const Tokens bound =
-      IsBounded() ? BoundAt(budget, loop_.now() - *stamped_at_) -
-                        UsedSince(budget)
-                  : budget.free;
+      IsBounded()
+          ? BoundAt(budget, loop_.now() - *stamped_at_) - UsedSince(budget)
+          : budget.free;
   return {.free = budget.free,
           .usable = std::clamp<Tokens>(bound, 0, budget.free),
           .available = budget.available,
@@ -637,9 +653,8 @@
   if (options_.reserve_part <= 0 || budget.available < 0) {
     return use;
   }
-  const double room =
-      static_cast<double>(budget.available + budget.free) -
-      options_.low_part * static_cast<double>(budget.limit);
+  const double room = static_cast<double>(budget.available + budget.free) -
+                      options_.low_part * static_cast<double>(budget.limit);
   const double part = options_.reserve_part * std::max(0.0, room);
   return std::min(use, static_cast<Tokens>(part));
 }
@@ -657,8 +672,8 @@
     Tokens amount,
     Tokens limit) const {
   const bool holds = loop_.now() < budget.refuse_until &&
-                     amount >= budget.refuse_from &&
-                     amount > budget.free && limit <= budget.limit_sent;
+                     amount >= budget.refuse_from && amount > budget.free &&
+                     limit <= budget.limit_sent;
   return holds ? std::optional(budget.refusal) : std::nullopt;
 }
 
@@ -941,20 +956,18 @@
     // The answers to that recall say nothing about tokens granted since.
     budget.recall_until.reset();
   }
-  const bool can_recall =
-      options_.recall_wait.count() > 0;
-  if (reply.other_holders.empty() || !can_recall ||
-      (until && now >= *until)) {
+  const bool can_recall = options_.recall_wait.count() > 0;
+  if (reply.other_holders.empty() || !can_recall || (until && now >= *until)) {
     const double used = static_cast<double>(reply.billed + budget.unsettled +
                                             budget.reserved + first.amount);
     const bool is_spent =
         reply.others_outstanding == 0 ||
         used > options_.spent_part * static_cast<double>(reply.limit);
-    budget.refusal = is_spent ? ReserveStatus::kInsufficient
-                              : ReserveStatus::kHeldElsewhere;
+    budget.refusal =
+        is_spent ? ReserveStatus::kInsufficient : ReserveStatus::kHeldElsewhere;
     budget.refuse_from = first.amount;
-    budget.refuse_until = now + (is_spent ? options_.spent_refusal_time
-                                          : options_.refusal_time);
+    budget.refuse_until =
+        now + (is_spent ? options_.spent_refusal_time : options_.refusal_time);
     RefuseShort(budget, budget.refusal, sent.last_waiter, tasks);
     return;
   }
@@ -1045,6 +1058,12 @@
   core_->Reserve(budget, amount, wait, std::move(callback));
 }
 
+bool GrantTable::ReserveForOther(const std::string& budget,
+                                 Tokens amount,
+                                 double keep_part) {
+  return core_->ReserveForOther(budget, amount, keep_part);
+}
+
 void GrantTable::Settle(const std::string& budget,
                         Tokens reserved,
                         const Bill& bill) {
--- a/src/grant_table.h
+++ b/src/grant_table.h
@@ -46,8 +46,8 @@
   // Every such period, reserves below `top_up_part` of their size are filled
   // up, many in one write; 0 means never.
   Millis top_up_period{0};
-  // Uniform in [0, 1): spreads the top-ups of hosts that started together, which
-  // otherwise write the same shards at the same moment.
+  // Uniform in [0, 1): spreads the top-ups of hosts that started together,
+  // which otherwise write the same shards at the same moment.
   std::function<double()> random;
   double top_up_part = 0.9;
   // At the same time, reserves above this multiple of their size are cut back
@@ -137,6 +137,12 @@
                Millis wait,
                std::function<void(ReserveStatus)> callback);
 
+  // Reserves if the grant covers `amount` now and this part of the reserve is
+  // left; for other holders.
+  bool ReserveForOther(const std::string& budget,
+                       Tokens amount,
+                       double keep_part);
+
   // Ends a reservation: bills `bill.amount`, at most `reserved`, and frees
   // the rest. An amount of 0 bills nothing.
   void Settle(const std::string& budget, Tokens reserved, const Bill& bill);
--- a/src/host_list.h
+++ b/src/host_list.h
@@ -8,8 +8,8 @@
 #include <string_view>
 #include <vector>
 
-#include "src/event_loop.h"
 #include "io/http_client.h"
+#include "src/event_loop.h"
 
 // Defines the platform's list of hosts and the poller that reads it.
 
--- a/src/http_store.h
+++ b/src/http_store.h
@@ -3,8 +3,8 @@
 
 #include <string>
 
-#include "src/event_loop.h"
 #include "io/http_client.h"
+#include "src/event_loop.h"
 #include "src/store.h"
 
 // Defines the store port over the platform's HTTP protocol (docs/design.md,
--- a/src/load_poller.h
+++ b/src/load_poller.h
@@ -4,9 +4,9 @@
 #include <functional>
 #include <memory>
 
+#include "io/http_client.h"
 #include "src/backend_table.h"
 #include "src/event_loop.h"
-#include "io/http_client.h"
 
 // Defines the poller of the load reports and cache events of the backend
 // servers that this router uses.
--- a/src/log.cc
+++ b/src/log.cc
@@ -86,10 +86,13 @@
       {LogEvent::kExchangeRejected, LogLevel::kError, "exchange_rejected"},
       {LogEvent::kGrantChanged, LogLevel::kInfo, "grant_changed"},
       {LogEvent::kGrantsReclaimed, LogLevel::kInfo, "grants_reclaimed"},
+      {LogEvent::kTokensLent, LogLevel::kInfo, "tokens_lent"},
+      {LogEvent::kTokensBorrowed, LogLevel::kInfo, "tokens_borrowed"},
       {LogEvent::kStoreUnavailable, LogLevel::kWarning, "store_unavailable"},
       {LogEvent::kStoreRecovered, LogLevel::kInfo, "store_recovered"},
       {LogEvent::kStoreWriteUncertain, LogLevel::kWarning,
        "store_write_uncertain"},
+      {LogEvent::kStoreThroughPeer, LogLevel::kInfo, "store_through_peer"},
       {LogEvent::kPeerConnected, LogLevel::kInfo, "peer_connected"},
       {LogEvent::kPeerLost, LogLevel::kInfo, "peer_lost"},
       {LogEvent::kPeerRejected, LogLevel::kWarning, "peer_rejected"},
@@ -124,9 +127,8 @@
   const auto it = std::ranges::find(all, event, &LogEventInfo::event);
   const auto level = it == all.end() ? LogLevel::kError : it->level;
   const auto name = it == all.end() ? std::string_view("unlisted") : it->name;
-  line_ = fmt::format(
-      R"({{"time":"{}","level":"{}","event":{},"name":"{}")", UtcNow(),
-      ToString(level), static_cast<int>(event), name);
+  line_ = fmt::format(R"({{"time":"{}","level":"{}","event":{},"name":"{}")",
+                      UtcNow(), ToString(level), static_cast<int>(event), name);
 }
 
 LogLine::~LogLine() {
--- a/src/metrics.cc
+++ b/src/metrics.cc
@@ -141,8 +141,8 @@
   std::string text;
   for (const auto& [key, n] : core_->counters) {
     if (std::get<0>(key) == name) {
-      text += fmt::format("{}{}={}", text.empty() ? "" : " ",
-                          std::get<2>(key), n);
+      text +=
+          fmt::format("{}{}={}", text.empty() ? "" : " ", std::get<2>(key), n);
     }
   }
   return text;
--- a/src/peer_generated.h
+++ b/src/peer_generated.h
@@ -45,6 +45,24 @@
 struct ConfigReply;
 struct ConfigReplyBuilder;
 
+struct LoanRequest;
+struct LoanRequestBuilder;
+
+struct LoanReply;
+struct LoanReplyBuilder;
+
+struct LoanSettlement;
+struct LoanSettlementBuilder;
+
+struct StoreRequest;
+struct StoreRequestBuilder;
+
+struct StoreItem;
+struct StoreItemBuilder;
+
+struct StoreReply;
+struct StoreReplyBuilder;
+
 struct ErrorReply;
 struct ErrorReplyBuilder;
 
@@ -81,6 +99,87 @@
   return EnumNamesRole()[index];
 }
 
+enum class StoreCall : uint8_t {
+  Get = 0,
+  Peek = 1,
+  Put = 2,
+  Remove = 3,
+  ReadAll = 4,
+  Watch = 5,
+  MIN = Get,
+  MAX = Watch
+};
+
+inline const StoreCall (&EnumValuesStoreCall())[6] {
+  static const StoreCall values[] = {
+    StoreCall::Get,
+    StoreCall::Peek,
+    StoreCall::Put,
+    StoreCall::Remove,
+    StoreCall::ReadAll,
+    StoreCall::Watch
+  };
+  return values;
+}
+
+inline const char * const *EnumNamesStoreCall() {
+  static const char * const names[7] = {
+    "Get",
+    "Peek",
+    "Put",
+    "Remove",
+    "ReadAll",
+    "Watch",
+    nullptr
+  };
+  return names;
+}
+
+inline const char *EnumNameStoreCall(StoreCall e) {
+  if (flatbuffers::IsOutRange(e, StoreCall::Get, StoreCall::Watch)) return "";
+  const size_t index = static_cast<size_t>(e);
+  return EnumNamesStoreCall()[index];
+}
+
+enum class StoreStatus : uint8_t {
+  Ok = 0,
+  NotFound = 1,
+  VersionConflict = 2,
+  Compacted = 3,
+  Unknown = 4,
+  MIN = Ok,
+  MAX = Unknown
+};
+
+inline const StoreStatus (&EnumValuesStoreStatus())[5] {
+  static const StoreStatus values[] = {
+    StoreStatus::Ok,
+    StoreStatus::NotFound,
+    StoreStatus::VersionConflict,
+    StoreStatus::Compacted,
+    StoreStatus::Unknown
+  };
+  return values;
+}
+
+inline const char * const *EnumNamesStoreStatus() {
+  static const char * const names[6] = {
+    "Ok",
+    "NotFound",
+    "VersionConflict",
+    "Compacted",
+    "Unknown",
+    nullptr
+  };
+  return names;
+}
+
+inline const char *EnumNameStoreStatus(StoreStatus e) {
+  if (flatbuffers::IsOutRange(e, StoreStatus::Ok, StoreStatus::Unknown)) return "";
+  const size_t index = static_cast<size_t>(e);
+  return EnumNamesStoreStatus()[index];
+}
+
 enum class Body : uint8_t {
   NONE = 0,
   Hello = 1,
@@ -92,11 +191,16 @@
   ConfigRequest = 7,
   ConfigReply = 8,
   ErrorReply = 9,
+  LoanRequest = 10,
+  LoanReply = 11,
+  LoanSettlement = 12,
+  StoreRequest = 13,
+  StoreReply = 14,
   MIN = NONE,
-  MAX = ErrorReply
+  MAX = StoreReply
 };
 
-inline const Body (&EnumValuesBody())[10] {
+inline const Body (&EnumValuesBody())[15] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
@@ -107,13 +211,18 @@
     Body::Recall,
     Body::ConfigRequest,
     Body::ConfigReply,
-    Body::ErrorReply
+    Body::ErrorReply,
+    Body::LoanRequest,
+    Body::LoanReply,
+    Body::LoanSettlement,
+    Body::StoreRequest,
+    Body::StoreReply
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[11] = {
+  static const char * const names[16] = {
     "NONE",
     "Hello",
     "HelloProof",
@@ -124,13 +233,18 @@
     "ConfigRequest",
     "ConfigReply",
     "ErrorReply",
+    "LoanRequest",
+    "LoanReply",
+    "LoanSettlement",
+    "StoreRequest",
+    "StoreReply",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::ErrorReply)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::StoreReply)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -175,6 +289,26 @@
   static const Body enum_value = Body::ErrorReply;
 };
 
+template<> struct BodyTraits<crocuslatch::wire::LoanRequest> {
+  static const Body enum_value = Body::LoanRequest;
+};
+
+template<> struct BodyTraits<crocuslatch::wire::LoanReply> {
+  static const Body enum_value = Body::LoanReply;
+};
+
+template<> struct BodyTraits<crocuslatch::wire::LoanSettlement> {
+  static const Body enum_value = Body::LoanSettlement;
+};
+
+template<> struct BodyTraits<crocuslatch::wire::StoreRequest> {
+  static const Body enum_value = Body::StoreRequest;
+};
+
+template<> struct BodyTraits<crocuslatch::wire::StoreReply> {
+  static const Body enum_value = Body::StoreReply;
+};
+
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
 
@@ -714,6 +848,444 @@
       document__);
 }
 
+struct LoanRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LoanRequestBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_BUDGET = 4,
+    VT_AMOUNT = 6
+  };
+  const flatbuffers::String *budget() const {
+    return GetPointer<const flatbuffers::String *>(VT_BUDGET);
+  }
+  int64_t amount() const {
+    return GetField<int64_t>(VT_AMOUNT, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_BUDGET) &&
+           verifier.VerifyString(budget()) &&
+           VerifyField<int64_t>(verifier, VT_AMOUNT, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct LoanRequestBuilder {
+  typedef LoanRequest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_budget(flatbuffers::Offset<flatbuffers::String> budget) {
+    fbb_.AddOffset(LoanRequest::VT_BUDGET, budget);
+  }
+  void add_amount(int64_t amount) {
+    fbb_.AddElement<int64_t>(LoanRequest::VT_AMOUNT, amount, 0);
+  }
+  explicit LoanRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<LoanRequest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<LoanRequest>(end);
+    fbb_.Required(o, LoanRequest::VT_BUDGET);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<LoanRequest> CreateLoanRequest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> budget = 0,
+    int64_t amount = 0) {
+  LoanRequestBuilder builder_(_fbb);
+  builder_.add_amount(amount);
+  builder_.add_budget(budget);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<LoanRequest> CreateLoanRequestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *budget = nullptr,
+    int64_t amount = 0) {
+  auto budget__ = budget ? _fbb.CreateString(budget) : 0;
+  return crocuslatch::wire::CreateLoanRequest(
+      _fbb,
+      budget__,
+      amount);
+}
+
+struct LoanReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LoanReplyBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_LOAN = 4
+  };
+  uint64_t loan() const {
+    return GetField<uint64_t>(VT_LOAN, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_LOAN, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct LoanReplyBuilder {
+  typedef LoanReply Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_loan(uint64_t loan) {
+    fbb_.AddElement<uint64_t>(LoanReply::VT_LOAN, loan, 0);
+  }
+  explicit LoanReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<LoanReply> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<LoanReply>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<LoanReply> CreateLoanReply(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t loan = 0) {
+  LoanReplyBuilder builder_(_fbb);
+  builder_.add_loan(loan);
+  return builder_.Finish();
+}
+
+struct LoanSettlement FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LoanSettlementBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_LOAN = 4,
+    VT_USED = 6
+  };
+  uint64_t loan() const {
+    return GetField<uint64_t>(VT_LOAN, 0);
+  }
+  int64_t used() const {
+    return GetField<int64_t>(VT_USED, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_LOAN, 8) &&
+           VerifyField<int64_t>(verifier, VT_USED, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct LoanSettlementBuilder {
+  typedef LoanSettlement Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_loan(uint64_t loan) {
+    fbb_.AddElement<uint64_t>(LoanSettlement::VT_LOAN, loan, 0);
+  }
+  void add_used(int64_t used) {
+    fbb_.AddElement<int64_t>(LoanSettlement::VT_USED, used, 0);
+  }
+  explicit LoanSettlementBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<LoanSettlement> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<LoanSettlement>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<LoanSettlement> CreateLoanSettlement(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t loan = 0,
+    int64_t used = 0) {
+  LoanSettlementBuilder builder_(_fbb);
+  builder_.add_used(used);
+  builder_.add_loan(loan);
+  return builder_.Finish();
+}
+
+struct StoreRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef StoreRequestBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_CALL = 4,
+    VT_KEY = 6,
+    VT_VALUE = 8,
+    VT_VERSION = 10,
+    VT_WAIT_MS = 12
+  };
+  crocuslatch::wire::StoreCall call() const {
+    return static_cast<crocuslatch::wire::StoreCall>(GetField<uint8_t>(VT_CALL, 0));
+  }
+  const flatbuffers::String *key() const {
+    return GetPointer<const flatbuffers::String *>(VT_KEY);
+  }
+  const flatbuffers::Vector<uint8_t> *value() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_VALUE);
+  }
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
+  }
+  uint32_t wait_ms() const {
+    return GetField<uint32_t>(VT_WAIT_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_CALL, 1) &&
+           VerifyOffsetRequired(verifier, VT_KEY) &&
+           verifier.VerifyString(key()) &&
+           VerifyOffset(verifier, VT_VALUE) &&
+           verifier.VerifyVector(value()) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
+           VerifyField<uint32_t>(verifier, VT_WAIT_MS, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct StoreRequestBuilder {
+  typedef StoreRequest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_call(crocuslatch::wire::StoreCall call) {
+    fbb_.AddElement<uint8_t>(StoreRequest::VT_CALL, static_cast<uint8_t>(call), 0);
+  }
+  void add_key(flatbuffers::Offset<flatbuffers::String> key) {
+    fbb_.AddOffset(StoreRequest::VT_KEY, key);
+  }
+  void add_value(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> value) {
+    fbb_.AddOffset(StoreRequest::VT_VALUE, value);
+  }
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(StoreRequest::VT_VERSION, version, 0);
+  }
+  void add_wait_ms(uint32_t wait_ms) {
+    fbb_.AddElement<uint32_t>(StoreRequest::VT_WAIT_MS, wait_ms, 0);
+  }
+  explicit StoreRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<StoreRequest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<StoreRequest>(end);
+    fbb_.Required(o, StoreRequest::VT_KEY);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<StoreRequest> CreateStoreRequest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    crocuslatch::wire::StoreCall call = crocuslatch::wire::StoreCall::Get,
+    flatbuffers::Offset<flatbuffers::String> key = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> value = 0,
+    uint64_t version = 0,
+    uint32_t wait_ms = 0) {
+  StoreRequestBuilder builder_(_fbb);
+  builder_.add_version(version);
+  builder_.add_wait_ms(wait_ms);
+  builder_.add_value(value);
+  builder_.add_key(key);
+  builder_.add_call(call);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<StoreRequest> CreateStoreRequestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    crocuslatch::wire::StoreCall call = crocuslatch::wire::StoreCall::Get,
+    const char *key = nullptr,
+    const std::vector<uint8_t> *value = nullptr,
+    uint64_t version = 0,
+    uint32_t wait_ms = 0) {
+  auto key__ = key ? _fbb.CreateString(key) : 0;
+  auto value__ = value ? _fbb.CreateVector<uint8_t>(*value) : 0;
+  return crocuslatch::wire::CreateStoreRequest(
+      _fbb,
+      call,
+      key__,
+      value__,
+      version,
+      wait_ms);
+}
+
+struct StoreItem FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef StoreItemBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_KEY = 4,
+    VT_VERSION = 6,
+    VT_VALUE = 8
+  };
+  const flatbuffers::String *key() const {
+    return GetPointer<const flatbuffers::String *>(VT_KEY);
+  }
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
+  }
+  const flatbuffers::Vector<uint8_t> *value() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_VALUE);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_KEY) &&
+           verifier.VerifyString(key()) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
+           VerifyOffset(verifier, VT_VALUE) &&
+           verifier.VerifyVector(value()) &&
+           verifier.EndTable();
+  }
+};
+
+struct StoreItemBuilder {
+  typedef StoreItem Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_key(flatbuffers::Offset<flatbuffers::String> key) {
+    fbb_.AddOffset(StoreItem::VT_KEY, key);
+  }
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(StoreItem::VT_VERSION, version, 0);
+  }
+  void add_value(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> value) {
+    fbb_.AddOffset(StoreItem::VT_VALUE, value);
+  }
+  explicit StoreItemBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<StoreItem> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<StoreItem>(end);
+    fbb_.Required(o, StoreItem::VT_KEY);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<StoreItem> CreateStoreItem(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> key = 0,
+    uint64_t version = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> value = 0) {
+  StoreItemBuilder builder_(_fbb);
+  builder_.add_version(version);
+  builder_.add_value(value);
+  builder_.add_key(key);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<StoreItem> CreateStoreItemDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *key = nullptr,
+    uint64_t version = 0,
+    const std::vector<uint8_t> *value = nullptr) {
+  auto key__ = key ? _fbb.CreateString(key) : 0;
+  auto value__ = value ? _fbb.CreateVector<uint8_t>(*value) : 0;
+  return crocuslatch::wire::CreateStoreItem(
+      _fbb,
+      key__,
+      version,
+      value__);
+}
+
+struct StoreReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef StoreReplyBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_STATUS = 4,
+    VT_VERSION = 6,
+    VT_VALUE = 8,
+    VT_ITEMS = 10,
+    VT_REVISION = 12
+  };
+  crocuslatch::wire::StoreStatus status() const {
+    return static_cast<crocuslatch::wire::StoreStatus>(GetField<uint8_t>(VT_STATUS, 0));
+  }
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
+  }
+  const flatbuffers::Vector<uint8_t> *value() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_VALUE);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<crocuslatch::wire::StoreItem>> *items() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crocuslatch::wire::StoreItem>> *>(VT_ITEMS);
+  }
+  uint64_t revision() const {
+    return GetField<uint64_t>(VT_REVISION, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_STATUS, 1) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
+           VerifyOffset(verifier, VT_VALUE) &&
+           verifier.VerifyVector(value()) &&
+           VerifyOffset(verifier, VT_ITEMS) &&
+           verifier.VerifyVector(items()) &&
+           verifier.VerifyVectorOfTables(items()) &&
+           VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct StoreReplyBuilder {
+  typedef StoreReply Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_status(crocuslatch::wire::StoreStatus status) {
+    fbb_.AddElement<uint8_t>(StoreReply::VT_STATUS, static_cast<uint8_t>(status), 0);
+  }
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(StoreReply::VT_VERSION, version, 0);
+  }
+  void add_value(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> value) {
+    fbb_.AddOffset(StoreReply::VT_VALUE, value);
+  }
+  void add_items(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocuslatch::wire::StoreItem>>> items) {
+    fbb_.AddOffset(StoreReply::VT_ITEMS, items);
+  }
+  void add_revision(uint64_t revision) {
+    fbb_.AddElement<uint64_t>(StoreReply::VT_REVISION, revision, 0);
+  }
+  explicit StoreReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<StoreReply> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<StoreReply>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<StoreReply> CreateStoreReply(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    crocuslatch::wire::StoreStatus status = crocuslatch::wire::StoreStatus::Ok,
+    uint64_t version = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> value = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocuslatch::wire::StoreItem>>> items = 0,
+    uint64_t revision = 0) {
+  StoreReplyBuilder builder_(_fbb);
+  builder_.add_revision(revision);
+  builder_.add_version(version);
+  builder_.add_items(items);
+  builder_.add_value(value);
+  builder_.add_status(status);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<StoreReply> CreateStoreReplyDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    crocuslatch::wire::StoreStatus status = crocuslatch::wire::StoreStatus::Ok,
+    uint64_t version = 0,
+    const std::vector<uint8_t> *value = nullptr,
+    const std::vector<flatbuffers::Offset<crocuslatch::wire::StoreItem>> *items = nullptr,
+    uint64_t revision = 0) {
+  auto value__ = value ? _fbb.CreateVector<uint8_t>(*value) : 0;
+  auto items__ = items ? _fbb.CreateVector<flatbuffers::Offset<crocuslatch::wire::StoreItem>>(*items) : 0;
+  return crocuslatch::wire::CreateStoreReply(
+      _fbb,
+      status,
+      version,
+      value__,
+      items__,
+      revision);
+}
+
 struct ErrorReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef ErrorReplyBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -825,6 +1397,21 @@
   const crocuslatch::wire::ErrorReply *body_as_ErrorReply() const {
     return body_type() == crocuslatch::wire::Body::ErrorReply ? static_cast<const crocuslatch::wire::ErrorReply *>(body()) : nullptr;
   }
+  const crocuslatch::wire::LoanRequest *body_as_LoanRequest() const {
+    return body_type() == crocuslatch::wire::Body::LoanRequest ? static_cast<const crocuslatch::wire::LoanRequest *>(body()) : nullptr;
+  }
+  const crocuslatch::wire::LoanReply *body_as_LoanReply() const {
+    return body_type() == crocuslatch::wire::Body::LoanReply ? static_cast<const crocuslatch::wire::LoanReply *>(body()) : nullptr;
+  }
+  const crocuslatch::wire::LoanSettlement *body_as_LoanSettlement() const {
+    return body_type() == crocuslatch::wire::Body::LoanSettlement ? static_cast<const crocuslatch::wire::LoanSettlement *>(body()) : nullptr;
+  }
+  const crocuslatch::wire::StoreRequest *body_as_StoreRequest() const {
+    return body_type() == crocuslatch::wire::Body::StoreRequest ? static_cast<const crocuslatch::wire::StoreRequest *>(body()) : nullptr;
+  }
+  const crocuslatch::wire::StoreReply *body_as_StoreReply() const {
+    return body_type() == crocuslatch::wire::Body::StoreReply ? static_cast<const crocuslatch::wire::StoreReply *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_REQUEST_ID, 8) &&
@@ -871,6 +1458,26 @@
   return body_as_ErrorReply();
 }
 
+template<> inline const crocuslatch::wire::LoanRequest *Envelope::body_as<crocuslatch::wire::LoanRequest>() const {
+  return body_as_LoanRequest();
+}
+
+template<> inline const crocuslatch::wire::LoanReply *Envelope::body_as<crocuslatch::wire::LoanReply>() const {
+  return body_as_LoanReply();
+}
+
+template<> inline const crocuslatch::wire::LoanSettlement *Envelope::body_as<crocuslatch::wire::LoanSettlement>() const {
+  return body_as_LoanSettlement();
+}
+
+template<> inline const crocuslatch::wire::StoreRequest *Envelope::body_as<crocuslatch::wire::StoreRequest>() const {
+  return body_as_StoreRequest();
+}
+
+template<> inline const crocuslatch::wire::StoreReply *Envelope::body_as<crocuslatch::wire::StoreReply>() const {
+  return body_as_StoreReply();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -949,6 +1556,26 @@
       auto ptr = reinterpret_cast<const crocuslatch::wire::ErrorReply *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::LoanRequest: {
+      auto ptr = reinterpret_cast<const crocuslatch::wire::LoanRequest *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::LoanReply: {
+      auto ptr = reinterpret_cast<const crocuslatch::wire::LoanReply *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::LoanSettlement: {
+      auto ptr = reinterpret_cast<const crocuslatch::wire::LoanSettlement *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::StoreRequest: {
+      auto ptr = reinterpret_cast<const crocuslatch::wire::StoreRequest *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::StoreReply: {
+      auto ptr = reinterpret_cast<const crocuslatch::wire::StoreReply *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/src/peer_link.cc
+++ b/src/peer_link.cc
@@ -123,6 +123,8 @@
 bool IsReply(const wire::Envelope& message) {
   return message.body_type() == wire::Body::ShardReplies ||
          message.body_type() == wire::Body::ConfigReply ||
+         message.body_type() == wire::Body::LoanReply ||
+         message.body_type() == wire::Body::StoreReply ||
          message.body_type() == wire::Body::ErrorReply;
 }
 
--- a/src/peer_network.cc
+++ b/src/peer_network.cc
@@ -20,6 +20,9 @@
 // A peer's own timeout for its commands is trusted up to this.
 constexpr Millis kLongestApply{10000};
 
+// Closes a link that has not answered a request.
+constexpr Millis kNoSilence{1};
+
 // Entries of one heartbeat that are read; more is a fault of the sender.
 constexpr std::size_t kMaxHeardOf = 1000;
 
@@ -324,6 +327,10 @@
         OnConfigRequest(reply);
         break;
       default:
+        if (hooks.on_message) {
+          hooks.on_message(connections.at(number).peer.holder.host, message,
+                           reply);
+        }
         break;
     }
   }
@@ -411,6 +418,34 @@
     }
   }
 
+  void Request(const std::string& host,
+               const PackBody& body,
+               Millis timeout,
+               PeerLink::OnReply on_reply) {
+    auto* connection = ConnectionTo(host);
+    if (connection == nullptr) {
+      RunLater([on_reply = std::move(on_reply)] { on_reply(nullptr); });
+      return;
+    }
+    const Number number = outgoing.at(host);
+    connection->link->Request(
+        body, timeout,
+        [self = weak_from_this(), number,
+         on_reply = std::move(on_reply)](const wire::Envelope* reply) {
+          const auto state = self.lock();
+          if (!state) {
+            return;
+          }
+          const auto it = state->connections.find(number);
+          if (reply == nullptr && it != state->connections.end()) {
+            // Ends the other requests of the link with no reply, too, which
+            // destroying it would not.
+            it->second.link->SetSilenceLimit(kNoSilence);
+          }
+          on_reply(reply);
+        });
+  }
+
   void SendCommands(const std::string& host,
                     std::uint32_t shard,
                     std::vector<ShardCommand> commands,
@@ -493,6 +528,19 @@
       });
 }
 
+void PeerNetwork::Request(const std::string& host,
+                          const PackBody& body,
+                          Millis timeout,
+                          PeerLink::OnReply on_reply) {
+  state_->Request(host, body, timeout, std::move(on_reply));
+}
+
+void PeerNetwork::Send(const std::string& host, const PackBody& body) {
+  if (auto* connection = state_->ConnectionTo(host)) {
+    connection->link->Send(body);
+  }
+}
+
 std::vector<std::string> PeerNetwork::ConnectedHosts() const {
   std::vector<std::string> result;
   for (const auto& [host, number] : state_->outgoing) {
--- a/src/peer_network.h
+++ b/src/peer_network.h
@@ -9,6 +9,7 @@
 
 #include "src/ledger_client.h"
 #include "src/membership.h"
+#include "src/peer_link.h"
 #include "src/types.h"
 
 // Defines this router's connections to its peers: the peer listener,
@@ -58,6 +59,11 @@
   // Address of a peer's listener; empty if unknown.
   std::function<std::string(const std::string& host)> address_of;
   std::function<std::vector<std::string>()> heartbeat_peers;
+  // A message that is none of the network's own.
+  std::function<void(const std::string& host,
+                     const wire::Envelope& message,
+                     std::function<void(const PackBody&)> reply)>
+      on_message;
   // The peer refused or broke the connection, or was silent.
   std::function<void(const std::string& host)> on_unreachable;
 };
@@ -93,6 +99,16 @@
   void FetchConfig(const std::string& host,
                    std::function<void(const std::string& encoded)> callback);
 
+  // Sends a request of any kind. Null if there was no reply in time; the
+  // connection is then closed, since it may have gone silent. The callback
+  // never comes from inside the call.
+  void Request(const std::string& host,
+               const PackBody& body,
+               Millis timeout,
+               PeerLink::OnReply on_reply);
+  // Sends a message without a reply; it may get lost.
+  void Send(const std::string& host, const PackBody& body);
+
   // Hosts with an authenticated connection that this router opened.
   std::vector<std::string> ConnectedHosts() const;
 
--- a/src/request_context.h
+++ b/src/request_context.h
@@ -5,11 +5,11 @@
 #include <memory>
 #include <string>
 
+#include "io/http_client.h"
 #include "src/backend_table.h"
 #include "src/document.h"
 #include "src/event_loop.h"
 #include "src/grant_table.h"
-#include "io/http_client.h"
 #include "src/metrics.h"
 #include "src/order_claims.h"
 #include "src/scheduler.h"
--- a/src/router.cc
+++ b/src/router.cc
@@ -9,12 +9,12 @@
 #include <optional>
 #include <vector>
 
+#include "io/http_client.h"
 #include "src/admin_api.h"
 #include "src/backend_table.h"
 #include "src/config_keeper.h"
 #include "src/grant_table.h"
 #include "src/host_list.h"
-#include "io/http_client.h"
 #include "src/http_store.h"
 #include "src/ledger_client.h"
 #include "src/load_poller.h"
--- a/src/shard_codec.cc
+++ b/src/shard_codec.cc
@@ -358,8 +358,8 @@
   for (const auto& [holder, grant] : record.grants) {
     grants.push_back(wire::CreateGrantRecord(
         builder, PackShared(builder, holders, holder), grant.outstanding,
-        grant.last_sequence, grant.last_granted, grant.frozen,
-        grant.changed_ms, grant.armed, grant.pace));
+        grant.last_sequence, grant.last_granted, grant.frozen, grant.changed_ms,
+        grant.armed, grant.pace));
   }
   const auto packed_name = builder.CreateString(name);
   const auto packed_grants = builder.CreateVector(grants);
@@ -376,10 +376,13 @@
   Tokens left = record.limit - record.billed - record.open_charges;
   if (table.grants()) {
     for (const auto* it : *table.grants()) {
-      const GrantRecord grant{
-          CheckAmount(it->outstanding()), it->last_sequence(),
-          CheckAmount(it->last_granted()), it->frozen(), it->changed_ms(),
-          CheckAmount(it->armed()), CheckAmount(it->pace())};
+      const GrantRecord grant{CheckAmount(it->outstanding()),
+                              it->last_sequence(),
+                              CheckAmount(it->last_granted()),
+                              it->frozen(),
+                              it->changed_ms(),
+                              CheckAmount(it->armed()),
+                              CheckAmount(it->pace())};
       left -= grant.outstanding;
       Require(left >= 0, "budget spent above its limit");
       Require(record.grants.emplace(Unpack(*it->holder()), grant).second,
--- a/src/shard_state.cc
+++ b/src/shard_state.cc
@@ -340,8 +340,8 @@
   return StatusReply(ReplyStatus::kOk);
 }
 
-// What may have been used counts as used. The record stays, so that a late copy of the
-// holder's exchange finds its sequence taken or more than it holds.
+// What may have been used counts as used. The record stays, so that a late copy
+// of the holder's exchange finds its sequence taken or more than it holds.
 ShardReply ApplyOne(ShardState& state,
                     const ReclaimCommand& command,
                     std::int64_t now_ms) {
@@ -352,9 +352,8 @@
       continue;
     }
     GrantRecord& grant = it->second;
-    const Tokens used =
-        std::min(UseBound(grant.armed, grant.pace, command.lived),
-                 grant.outstanding);
+    const Tokens used = std::min(
+        UseBound(grant.armed, grant.pace, command.lived), grant.outstanding);
     reply.granted += grant.outstanding - used;
     budget.billed += used;
     grant.outstanding = 0;
--- a/src/shard_writer.cc
+++ b/src/shard_writer.cc
@@ -849,12 +849,11 @@
     if (StopIfUnused(*shard)) {
       return;
     }
-    store_.get(ShardKey(shard->number),
-               [self = shared_from_this(), shard,
-                attempt](const StoreResult& result) {
-                 self->Note(*shard, result.status);
-                 self->OnReadBack(shard, attempt, result);
-               });
+    store_.get(ShardKey(shard->number), [self = shared_from_this(), shard,
+                                         attempt](const StoreResult& result) {
+      self->Note(*shard, result.status);
+      self->OnReadBack(shard, attempt, result);
+    });
   }
 
   void OnReadBack(const ShardPtr& shard,
--- a/src/tool_commands.h
+++ b/src/tool_commands.h
@@ -7,8 +7,8 @@
 #include <string_view>
 #include <vector>
 
-#include "src/error.h"
 #include "io/http_client.h"
+#include "src/error.h"
 #include "src/load_generator.h"
 #include "src/types.h"
 
--- a/standins/engine_server.h
+++ b/standins/engine_server.h
@@ -10,8 +10,8 @@
 #include <utility>
 #include <vector>
 
-#include "src/event_loop.h"
 #include "io/http_front.h"
+#include "src/event_loop.h"
 #include "standins/fault_plan.h"
 #include "standins/prefix_cache.h"
 #include "standins/standin_program.h"
--- a/standins/standin_program.h
+++ b/standins/standin_program.h
@@ -10,8 +10,8 @@
 #include <string>
 #include <string_view>
 
-#include "src/event_loop.h"
 #include "io/http_front.h"
+#include "src/event_loop.h"
 
 // Defines what all stand-in programs share: options, start, JSON helpers and
 // requests that never get an answer.
--- a/standins/store_server.h
+++ b/standins/store_server.h
@@ -7,8 +7,8 @@
 #include <map>
 #include <string>
 
-#include "src/event_loop.h"
 #include "io/http_front.h"
+#include "src/event_loop.h"
 #include "standins/kv_table.h"
 #include "standins/standin_program.h"
 
--- a/tests/error/http_front_test.cc
+++ b/tests/error/http_front_test.cc
@@ -98,15 +98,15 @@
 // end, and garbage is refused after it.
 TEST_CASE("a request during a stream never writes into it") {
   std::vector<HttpReply> replies;
-  HttpFront front(ShortLimits(), [&](const IncomingRequest& request,
-                                     HttpReply reply) {
-    if (request.path == "/b") {
-      reply.SendWhole(200, {}, "second");
-      return;
-    }
-    reply.StartStream(200, {});
-    replies.push_back(reply);
-  });
+  HttpFront front(ShortLimits(),
+                  [&](const IncomingRequest& request, HttpReply reply) {
+                    if (request.path == "/b") {
+                      reply.SendWhole(200, {}, "second");
+                      return;
+                    }
+                    reply.StartStream(200, {});
+                    replies.push_back(reply);
+                  });
   const auto [second, answer] =
       GENERATE(std::pair("GET /b HTTP/1.1\r\nHost: h\r\n\r\n", "HTTP/1.1 200"),
                std::pair("garbage\r\n\r\n", "HTTP/1.1 400"));
--- a/tests/error/http_store_test.cc
+++ b/tests/error/http_store_test.cc
@@ -4,8 +4,8 @@
 
 #include <catch2/catch.hpp>
 
-#include "src/host_list.h"
 #include "io/http_front.h"
+#include "src/host_list.h"
 #include "tests/run_until.h"
 
 namespace crocuslatch {
--- a/tests/process/caller.h
+++ b/tests/process/caller.h
@@ -7,8 +7,8 @@
 #include <string>
 #include <vector>
 
-#include "src/event_loop.h"
 #include "io/http_client.h"
+#include "src/event_loop.h"
 #include "src/types.h"
 
 // Defines callers that retry at one router after the other and record what
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -8,8 +8,8 @@
 #include <string>
 #include <vector>
 
-#include "src/event_loop.h"
 #include "io/http_client.h"
+#include "src/event_loop.h"
 #include "src/types.h"
 #include "tests/process/caller.h"
 #include "tests/process/process.h"
--- a/tests/request_fixture.h
+++ b/tests/request_fixture.h
@@ -9,9 +9,9 @@
 #include <random>
 #include <thread>
 
+#include "io/http_front.h"
 #include "src/caller_api.h"
 #include "src/document.h"
-#include "io/http_front.h"
 #include "src/sha256.h"
 #include "src/shard_state.h"
 #include "tests/run_until.h"
