Charge nothing for requests that never began to answer

Cause: budgets ran out before the callers had got them. Ruled out: the count of answered requests.

Change: a request is charged from the first byte of an answer on. One that is taken back earlier is withdrawn: the sending side is closed first, and what the server sends until it closes tells whether the answer had begun.

--- a/app/forwarding.cc
+++ b/app/forwarding.cc
@@ -25,6 +25,10 @@
 // Other routers settle and return within about a second, and a retry usually
 // reaches another router.
 constexpr Millis kBudgetRetryAfter{300};
+// Longest wait for what a server sends after a request was withdrawn; servers
+// are a few milliseconds away, and a server that works on for half a second
+// after the caller has left breaks the callers' rules.
+constexpr Millis kWithdrawWait{150};
 // A dispatch with less time than this left is not worth its load.
 constexpr Millis kLeastTimeLeft{5};
 // Time limit of a caller that states none.
@@ -296,7 +300,12 @@
          .on_data = guard(
              [](Forwarding& self, std::string_view it) { self.OnData(it); }),
          .on_end =
-             guard([](Forwarding& self, HttpEnd it) { self.OnEnd(it); })});
+             [self = shared_from_this(),
+              on_end = guard([](Forwarding& self, HttpEnd it) {
+                self.OnEnd(it);
+              })](HttpEnd it) {
+               self->is_withdrawing_ ? self->OnWithdrawn(it) : on_end(it);
+             }});
   }
 
   std::optional<int> Priority() const {
@@ -314,6 +323,7 @@
     status_ = status;
     is_sealed_ = response.has_seal;
     not_executed_ = response.not_executed;
+    has_begun_ = has_begun_ || !not_executed_;
     if (response.load) {
       context_->placement->OnLoad(server_id_, response.load->running,
                                   response.load->waiting, now);
@@ -455,10 +465,28 @@
     if (ticket_) {
       ran_ = true;
       EndDispatch(DispatchResult::kNeutral, HttpEnd::kCancelled);
-      call_.Cancel();
+      if (status_ == 0 && (reserved_ > 0 || loan_)) {
+        is_withdrawing_ = true;
+        call_.Withdraw(kWithdrawWait);
+      } else {
+        call_.Cancel();
+      }
     }
   }
 
+  // The tokens are settled only now, since an answer that had begun when the
+  // request was withdrawn has used the prompt.
+  void OnWithdrawn(HttpEnd end) {
+    is_withdrawing_ = false;
+    has_begun_ = has_begun_ || end == HttpEnd::kBroken;
+    Settle();
+    LogLine(LogEvent::kRequestWithdrawn)
+        .Add("request", caller_.request_id)
+        .Add("server", server_id_)
+        .Add("answer_had_begun", end == HttpEnd::kBroken)
+        .Add("used_tokens", used_);
+  }
+
   void OnCallerLeft() {
     if (is_done_) {
       return;
@@ -503,11 +531,13 @@
   }
 
   void Settle() {
-    if (reserved_ == 0 && !loan_) {
+    if (is_withdrawing_ || (reserved_ == 0 && !loan_)) {
       return;
     }
     Tokens used = 0;
-    if (ran_) {
+    // A request that never began to answer has used nothing
+    // (docs/questions.md).
+    if (has_begun_) {
       const Tokens delivered =
           events_ * (engine_ ? engine_->tokens_per_event : 1);
       used = caller_.work->prompt_tokens +
@@ -597,6 +627,10 @@
   int attempts_ = 0;
   // A backend server may have run the request.
   bool ran_ = false;
+  // A backend server has begun to answer other than by a refusal.
+  bool has_begun_ = false;
+  // Withdrawn, and the server has not told yet whether it had begun.
+  bool is_withdrawing_ = false;
   bool is_streaming_ = false;
   bool is_done_ = false;
   Tokens events_ = 0;
--- a/io/http_client.cc
+++ b/io/http_client.cc
@@ -161,6 +161,7 @@
     stall_timeout_ = request.stall_timeout;
     is_reusable_ = true;
     is_sent_ = false;
+    has_answer_ = false;
     has_no_body_ = request.method == "HEAD";
     MakeParser();
     if (socket_.is_connected()) {
@@ -184,6 +185,16 @@
     });
   }
 
+  void Withdraw(Millis wait) {
+    if (!is_sent_ || has_answer_) {
+      Cancel();
+      return;
+    }
+    is_withdrawn_ = true;
+    socket_.CloseSending();
+    Arm(wait);
+  }
+
   // Detaches the call without calling its hooks.
   void Detach() {
     if (call_) {
@@ -251,6 +262,10 @@
       Discard();
       return;
     }
+    if (is_withdrawn_) {
+      Finish(HttpEnd::kCancelled);
+      return;
+    }
     Finish(is_sent_ ? HttpEnd::kTimedOut : HttpEnd::kNotSent);
   }
 
@@ -281,6 +296,10 @@
       Discard();
       return;
     }
+    if (is_withdrawn_) {
+      Finish(HttpEnd::kBroken);
+      return;
+    }
     last_activity_ = SteadyNow();
     is_in_grace_ = false;
     if (!has_answer_) {
@@ -323,6 +342,10 @@
       return;
     }
     is_reusable_ = false;
+    if (is_withdrawn_) {
+      Finish(HttpEnd::kCancelled);
+      return;
+    }
     if (end == TcpEnd::kClosed && !is_skipping_ && parser_->FinishAtClose()) {
       Finish(HttpEnd::kComplete);
     } else {
@@ -387,6 +410,7 @@
   Millis idle_time_{0};
   Millis idle_until_{0};
   bool is_sent_ = false;
+  bool is_withdrawn_ = false;
   bool has_answer_ = false;
   bool is_reusable_ = true;
   bool is_skipping_ = false;
@@ -452,6 +476,12 @@
   }
 }
 
+void HttpCall::Withdraw(Millis wait) {
+  if (state_ && state_->connection != nullptr) {
+    state_->connection->Withdraw(wait);
+  }
+}
+
 bool HttpCall::is_on_new_connection() const {
   return state_ && state_->is_new_connection;
 }
--- a/io/http_client.h
+++ b/io/http_client.h
@@ -60,6 +60,10 @@
   // Ends the request with kCancelled and closes its connection; does nothing
   // after its end.
   void Cancel();
+  // Takes the request back: closes the sending side, so that the server drops
+  // it, and waits for what the server sends until it closes, `wait` at most.
+  // Ends with kBroken if an answer has begun, and with kCancelled otherwise.
+  void Withdraw(Millis wait);
   // The request had to open a connection of its own.
   bool is_on_new_connection() const;
 
--- a/io/tcp_socket.cc
+++ b/io/tcp_socket.cc
@@ -97,6 +97,16 @@
   }
 }
 
+void TcpSocket::CloseSending() {
+  unsent_.clear();
+  if (writable_) {
+    writable_->setEnabled(false);
+  }
+  if (descriptor_ >= 0) {
+    ::shutdown(descriptor_, SHUT_WR);
+  }
+}
+
 void TcpSocket::Close() {
   is_connected_ = false;
   unsent_.clear();
--- a/io/tcp_socket.h
+++ b/io/tcp_socket.h
@@ -45,6 +45,8 @@
   // Unacknowledged bytes end the connection after `unacknowledged_timeout`.
   void Connect(const IpEndpoint& peer, Millis unacknowledged_timeout);
   void Write(std::string_view bytes);
+  // Closes the sending side only; the peer sees the end of what was sent.
+  void CloseSending();
   // Closes without hooks.
   void Close();
 
--- a/src/log.cc
+++ b/src/log.cc
@@ -106,6 +106,7 @@
       {LogEvent::kDispatchEnded, LogLevel::kInfo, "dispatch_ended"},
       {LogEvent::kRequestEnded, LogLevel::kInfo, "request_ended"},
       {LogEvent::kReservationRefused, LogLevel::kInfo, "reservation_refused"},
+      {LogEvent::kRequestWithdrawn, LogLevel::kInfo, "request_withdrawn"},
       {LogEvent::kBackendEjected, LogLevel::kWarning, "backend_ejected"},
       {LogEvent::kBackendReadmitted, LogLevel::kInfo, "backend_readmitted"},
       {LogEvent::kBackendLeaving, LogLevel::kInfo, "backend_leaving"},
--- a/src/log.h
+++ b/src/log.h
@@ -66,6 +66,7 @@
   kDispatchEnded = 606,
   kRequestEnded = 607,
   kReservationRefused = 608,
+  kRequestWithdrawn = 609,
   kBackendEjected = 700,
   kBackendReadmitted = 701,
   kBackendLeaving = 702,
--- a/tests/error/http_client_test.cc
+++ b/tests/error/http_client_test.cc
@@ -275,4 +275,52 @@
   CHECK_FALSE(called);
 }
 
+// Guards against charging a request that never ran, and against leaving out
+// one whose answer was under way when its caller left.
+TEST_CASE("a withdrawn request tells whether its answer had begun") {
+  const bool has_begun = GENERATE(false, true);
+  QTcpSocket* at_server = nullptr;
+  RawServer server([&](QTcpSocket& socket, const QByteArray& all) {
+    at_server = IsWholeOrder(all) ? &socket : nullptr;
+  });
+  HttpClient client;
+  const auto result = std::make_shared<Result>();
+  auto call =
+      client.Send({.method = "POST", .url = server.Url(), .body = "bread"},
+                  {.on_end = [result](HttpEnd end) {
+                    *result = {true, end};
+                  }});
+  REQUIRE(RunUntil([&] { return at_server != nullptr; }));
+  if (has_begun) {
+    at_server->write("HTTP/1.1 200 OK\r\n");
+    at_server->flush();
+  }
+  call.Withdraw(Millis{2000});
+  REQUIRE(RunUntil([&] { return result->done; }));
+  CHECK(result->end == (has_begun ? HttpEnd::kBroken : HttpEnd::kCancelled));
+  CHECK(client.open_connections() == 0);
+}
+
+// Guards against tokens that stay reserved for a server that is gone.
+TEST_CASE("a withdrawn request ends after its wait if the server is silent") {
+  QTcpServer server;
+  server.listen(QHostAddress::LocalHost);
+  server.pauseAccepting();
+  HttpClient client;
+  const auto result = std::make_shared<Result>();
+  auto call = client.Send(
+      {.method = "POST",
+       .url = fmt::format("http://127.0.0.1:{}/", server.serverPort()),
+       .body = "bread"},
+      {.on_end = [result](HttpEnd end) {
+        *result = {true, end};
+      }});
+  RunFor(Millis{50});
+  call.Withdraw(Millis{100});
+  RunFor(Millis{20});
+  CHECK_FALSE(result->done);
+  REQUIRE(RunUntil([&] { return result->done; }));
+  CHECK(result->end == HttpEnd::kCancelled);
+}
+
 }  // namespace crocuslatch
