Tell other hosts what is in flight at the backend servers

Cause: a host sees a ninth of the requests, and engines count a request whose prompt they still read as running, so reports do not show a queue of prompts.

Change: hosts send each other their requests and unread prompt tokens for each server, gathered over 15 ms, to 16 peers at most; placement adds them up and uses a server's report only while it hears from no peer.

--- a/app/front.cc
+++ b/app/front.cc
@@ -11,6 +11,7 @@
 #include "app/forwarding.h"
 #include "app/holder_recovery.h"
 #include "app/host_directory.h"
+#include "app/load_sharing.h"
 #include "app/relayed_store.h"
 #include "app/server_registry_reader.h"
 #include "app/stamp_writer.h"
@@ -132,6 +133,7 @@
   std::unique_ptr<HostDirectory> hosts;
   std::unique_ptr<PeerNetwork> peers;
   std::unique_ptr<TokenLoans> loans;
+  std::unique_ptr<LoadSharing> load_sharing;
   std::unique_ptr<StampWriter> stamps;
   std::unique_ptr<GrantTable> grants;
   std::shared_ptr<ForwardContext> context;
@@ -331,7 +333,8 @@
     hooks.on_message = [this](const std::string& host,
                               const wire::Envelope& message,
                               const auto& reply) {
-      if (!loans->OnMessage(host, message, reply)) {
+      if (!load_sharing->OnMessage(host, message) &&
+          !loans->OnMessage(host, message, reply)) {
         relayed_store.OnMessage(message, reply);
       }
     };
@@ -359,6 +362,11 @@
                   context->settle(budget, reserved, used);
                 }});
     relayed_store.SetNetwork(peers.get());
+    load_sharing = std::make_unique<LoadSharing>(
+        LoadSharingOptions{}, loop, peers.get(), &placement,
+        LoadSharingHooks{.own_host = settings.host_name,
+                         .peers = [this] { return hosts->Others(); }});
+    placement.OnChange([this] { load_sharing->OnChange(); });
   }
 
   void StartStamps(const ApplyToShard& ledger) {
@@ -395,7 +403,7 @@
         callback(std::nullopt);
         return;
       }
-      loans->Borrow(account, amount, std::move(callback));
+      loans->Borrow(account, amount, callback);
     };
     context->repay = [this](const Loan& loan, Tokens used) {
       loans->Repay(loan, used);
--- a/app/relayed_store.cc
+++ b/app/relayed_store.cc
@@ -300,6 +300,7 @@
     }
     std::ranges::sort(keyed);
     std::vector<std::string> peers;
+    peers.reserve(keyed.size());
     for (auto& it : keyed) {
       peers.push_back(std::move(it.second));
     }
--- a/app/token_loans.cc
+++ b/app/token_loans.cc
@@ -58,6 +58,7 @@
     });
     // A random order spreads the load and the reserves.
     std::vector<std::pair<double, std::string>> keyed;
+    keyed.reserve(peers.size());
     for (auto& it : peers) {
       keyed.emplace_back(hooks.random(), std::move(it));
     }
@@ -156,9 +157,10 @@
 
 TokenLoans::~TokenLoans() = default;
 
-void TokenLoans::Borrow(const std::string& budget,
-                        Tokens amount,
-                        std::function<void(std::optional<Loan>)> callback) {
+void TokenLoans::Borrow(
+    const std::string& budget,
+    Tokens amount,
+    const std::function<void(std::optional<Loan>)>& callback) {
   core_->Ask(core_->PeersToAsk(), budget, amount, callback);
 }
 
--- a/app/token_loans.h
+++ b/app/token_loans.h
@@ -61,7 +61,7 @@
   // Asks one peer after the other; nullopt if none lends.
   void Borrow(const std::string& budget,
               Tokens amount,
-              std::function<void(std::optional<Loan>)> callback);
+              const std::function<void(std::optional<Loan>)>& callback);
   // The request has ended; `used` of the loan is spent.
   void Repay(const Loan& loan, Tokens used);
 
--- a/core/placement.cc
+++ b/core/placement.cc
@@ -50,12 +50,27 @@
   servers_ = std::move(next);
 }
 
+InFlightLoad Placement::PeerLoads(const Server& server, Millis now) const {
+  InFlightLoad sum;
+  for (const auto& [host, peer] : server.peers) {
+    if (now - peer.told_at <= options_.peer_load_time) {
+      sum.requests += peer.load.requests;
+      sum.unread_tokens += peer.load.unread_tokens;
+    }
+  }
+  return sum;
+}
+
 double Placement::LoadMs(const Server& server,
                          bool is_model,
                          Millis now) const {
-  double running = server.in_flight;
+  const auto peers = PeerLoads(server, now);
+  double running = server.own.requests + peers.requests;
   double waiting = 0;
-  if (server.has_report) {
+  const bool has_peers =
+      peers_heard_at_ && now - *peers_heard_at_ <= options_.peer_load_time;
+  // Peers know what they sent earlier and better than the server reports it.
+  if (server.has_report && !has_peers) {
     const auto age = static_cast<double>((now - server.reported_at).count());
     const auto half_life =
         static_cast<double>(options_.report_half_life.count());
@@ -70,7 +85,7 @@
     return (running + waiting) * options_.ms_per_plain_request /
            std::max(1, server.entry.slots);
   }
-  return static_cast<double>(server.unread_tokens) /
+  return static_cast<double>(server.own.unread_tokens + peers.unread_tokens) /
              options_.prompt_tokens_per_ms +
          running * options_.ms_per_running + waiting * options_.ms_per_waiting;
 }
@@ -149,8 +164,12 @@
         // Other routers send the session there, too.
         cached = std::max(cached, SharedTokens(*query.work));
       }
-      it.cost += static_cast<double>(
-                     std::max<Tokens>(0, query.work->prompt_tokens - cached)) /
+      const Tokens shared = SharedTokens(*query.work);
+      const Tokens again = std::max<Tokens>(0, shared - cached);
+      const Tokens own =
+          std::max<Tokens>(0, query.work->prompt_tokens - shared);
+      it.cost += (static_cast<double>(own) +
+                  options_.reread_factor * static_cast<double>(again)) /
                  options_.prompt_tokens_per_ms;
     }
     if (it.server->entry.failure_domain != own_failure_domain_) {
@@ -176,13 +195,14 @@
   const auto it = servers_.find(server_id);
   if (it != servers_.end()) {
     Server& server = it->second;
-    ++server.in_flight;
+    ++server.own.requests;
     if (work != nullptr) {
       dispatch.unread_tokens = std::max<Tokens>(
           0, work->prompt_tokens - CachedTokens(server, *work, now));
-      server.unread_tokens += dispatch.unread_tokens;
+      server.own.unread_tokens += dispatch.unread_tokens;
       RememberParts(server, *work, now);
     }
+    Changed();
   }
   dispatches_.emplace(++last_ticket_, std::move(dispatch));
   return last_ticket_;
@@ -196,8 +216,9 @@
   const auto it = servers_.find(found->second.server_id);
   const auto tokens = std::exchange(found->second.unread_tokens, 0);
   if (it != servers_.end()) {
-    it->second.unread_tokens =
-        std::max<Tokens>(0, it->second.unread_tokens - tokens);
+    auto& unread = it->second.own.unread_tokens;
+    unread = std::max<Tokens>(0, unread - tokens);
+    Changed();
   }
 }
 
@@ -213,7 +234,8 @@
     return;
   }
   Server& server = it->second;
-  server.in_flight = std::max(0, server.in_flight - 1);
+  server.own.requests = std::max(0, server.own.requests - 1);
+  Changed();
   if (result == DispatchResult::kServed) {
     server.failures = 0;
     server.avoidance = Millis{0};
@@ -245,11 +267,51 @@
   }
   it->second.reported_running = running;
   it->second.reported_waiting = waiting;
-  it->second.in_flight_at_report = it->second.in_flight;
+  it->second.in_flight_at_report = it->second.own.requests;
   it->second.reported_at = now;
   it->second.has_report = true;
 }
 
+void Placement::Changed() const {
+  if (on_change_) {
+    on_change_();
+  }
+}
+
+std::vector<OwnLoad> Placement::TakeChangedLoads(Millis now,
+                                                 Millis repeat_after) {
+  std::vector<OwnLoad> changed;
+  for (auto& [id, server] : servers_) {
+    const bool is_repeated =
+        server.own != InFlightLoad{} && now - server.told_at >= repeat_after;
+    if (server.own != server.told || is_repeated) {
+      server.told = server.own;
+      server.told_at = now;
+      changed.push_back({id, server.own});
+    }
+  }
+  return changed;
+}
+
+void Placement::OnPeerLoad(const std::string& host,
+                           const std::string& server_id,
+                           const InFlightLoad& load,
+                           Millis now) {
+  peers_heard_at_ = now;
+  const auto it = servers_.find(server_id);
+  if (it == servers_.end()) {
+    return;
+  }
+  if (load == InFlightLoad{}) {
+    it->second.peers.erase(host);
+    return;
+  }
+  it->second.peers[host] = {
+      {std::clamp(load.requests, 0, options_.most_peer_requests),
+       std::clamp<Tokens>(load.unread_tokens, 0, options_.most_peer_tokens)},
+      now};
+}
+
 bool Placement::HasServer(std::string_view service) const {
   return std::ranges::any_of(servers_, [&](const auto& it) {
     return it.second.entry.service == service && !it.second.entry.is_leaving;
@@ -265,7 +327,7 @@
   std::vector<ServerView> view;
   for (const auto& [id, server] : servers_) {
     view.push_back({.entry = server.entry,
-                    .in_flight = server.in_flight,
+                    .in_flight = server.own.requests,
                     .load_ms = LoadMs(server, true, now),
                     .is_avoided = now < server.avoid_until});
   }
--- a/core/placement.h
+++ b/core/placement.h
@@ -23,7 +23,9 @@
 // sessions with long shared prompts to engines whose caches hold few of them,
 // while reports of load are late. A session goes to the server that it has by
 // rendezvous hash, where its prompt is cached, until that server's queue costs
-// more than reading the prompt elsewhere.
+// more than reading the prompt elsewhere. Routers tell each other what they
+// have in flight, so that bursts of long prompts do not pile up at one server
+// before its reports show them.
 
 namespace crocuslatch {
 
@@ -31,6 +33,11 @@
   // Prompt tokens that an engine reads in a millisecond; the engines of both
   // users read 37 and 48.
   double prompt_tokens_per_ms = 40;
+  // Cost of reading shared parts that another server has cached, as a multiple
+  // of the time: it also delays all other requests of the server and pushes
+  // other parts out of its cache. 1 gave a mean worth of 0.584 and 0.667, 2
+  // 0.619 and 0.689, 3.5 0.632 and 0.700, 6 0.631 and 0.704.
+  double reread_factor = 5;
   // Delay that each running request of an engine causes to another one's
   // first token: its steps get longer (0.12 ms for each slot and step).
   double ms_per_running = 4;
@@ -40,6 +47,12 @@
   double ms_per_plain_request = 30;
   // Age at which a report of load counts half.
   Millis report_half_life{1000};
+  // What a peer told counts for this time; it repeats it every second.
+  Millis peer_load_time{2500};
+  // More than any host has in flight at one server: twice its slots. Larger
+  // values from a peer are cut to this.
+  int most_peer_requests = 128;
+  Tokens most_peer_tokens = 4'000'000;
   // Cost of leaving the own failure domain; bytes between domains are priced.
   double ms_per_domain_change = 2;
   // Records of cached prompt parts kept for each server, and how long one
@@ -84,6 +97,20 @@
   kNeutral,
 };
 
+// What one host has in flight at a server.
+struct InFlightLoad {
+  int requests = 0;
+  // Prompt tokens of those that have not begun to answer.
+  Tokens unread_tokens = 0;
+  auto operator<=>(const InFlightLoad&) const = default;
+};
+
+struct OwnLoad {
+  std::string server_id;
+  InFlightLoad load;
+  auto operator<=>(const OwnLoad&) const = default;
+};
+
 struct ServerView {
   BackendEntry entry;
   int in_flight = 0;
@@ -112,6 +139,16 @@
               int waiting,
               Millis now);
 
+  // Called after each change of what this host has in flight.
+  void OnChange(std::function<void()> hook) { on_change_ = std::move(hook); }
+  // Own loads that changed since the last call, and those above zero that were
+  // last taken `repeat_after` ago.
+  std::vector<OwnLoad> TakeChangedLoads(Millis now, Millis repeat_after);
+  void OnPeerLoad(const std::string& host,
+                  const std::string& server_id,
+                  const InFlightLoad& load,
+                  Millis now);
+
   bool HasServer(std::string_view service) const;
   bool IsLeavingOrGone(const std::string& server_id) const;
   std::vector<ServerView> View(Millis now) const;
@@ -121,11 +158,17 @@
     Millis used_at{0};
     std::list<std::string>::iterator order;
   };
+  struct PeerLoad {
+    InFlightLoad load;
+    Millis told_at{0};
+  };
   struct Server {
     BackendEntry entry;
-    int in_flight = 0;
-    // Prompt tokens of own dispatches that have not begun to answer.
-    Tokens unread_tokens = 0;
+    InFlightLoad own;
+    // As the peers were told last.
+    InFlightLoad told;
+    Millis told_at{0};
+    std::map<std::string, PeerLoad> peers;
     // Last report and the own dispatches in flight when it came.
     int reported_running = 0;
     int reported_waiting = 0;
@@ -145,7 +188,9 @@
     Tokens unread_tokens = 0;
   };
 
+  InFlightLoad PeerLoads(const Server& server, Millis now) const;
   double LoadMs(const Server& server, bool is_model, Millis now) const;
+  void Changed() const;
   Tokens CachedTokens(const Server& server,
                       const ModelWork& work,
                       Millis now) const;
@@ -156,6 +201,9 @@
   std::map<std::string, Server> servers_;
   std::unordered_map<Ticket, Dispatch> dispatches_;
   Ticket last_ticket_ = 0;
+  std::function<void()> on_change_;
+  // When a peer told anything last.
+  std::optional<Millis> peers_heard_at_;
 };
 
 }  // namespace crocuslatch
--- a/src/peer_generated.h
+++ b/src/peer_generated.h
@@ -63,6 +63,12 @@
 struct StoreReply;
 struct StoreReplyBuilder;
 
+struct ServerLoad;
+struct ServerLoadBuilder;
+
+struct LoadUpdate;
+struct LoadUpdateBuilder;
+
 struct ErrorReply;
 struct ErrorReplyBuilder;
 
@@ -196,11 +202,12 @@
   LoanSettlement = 12,
   StoreRequest = 13,
   StoreReply = 14,
+  LoadUpdate = 15,
   MIN = NONE,
-  MAX = StoreReply
+  MAX = LoadUpdate
 };
 
-inline const Body (&EnumValuesBody())[15] {
+inline const Body (&EnumValuesBody())[16] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
@@ -216,13 +223,14 @@
     Body::LoanReply,
     Body::LoanSettlement,
     Body::StoreRequest,
-    Body::StoreReply
+    Body::StoreReply,
+    Body::LoadUpdate
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[16] = {
+  static const char * const names[17] = {
     "NONE",
     "Hello",
     "HelloProof",
@@ -238,13 +246,14 @@
     "LoanSettlement",
     "StoreRequest",
     "StoreReply",
+    "LoadUpdate",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::StoreReply)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::LoadUpdate)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -309,6 +318,10 @@
   static const Body enum_value = Body::StoreReply;
 };
 
+template<> struct BodyTraits<crocuslatch::wire::LoadUpdate> {
+  static const Body enum_value = Body::LoadUpdate;
+};
+
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
 
@@ -1286,6 +1299,134 @@
       revision);
 }
 
+struct ServerLoad FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ServerLoadBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVER = 4,
+    VT_REQUESTS = 6,
+    VT_UNREAD_TOKENS = 8
+  };
+  const flatbuffers::String *server() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVER);
+  }
+  uint32_t requests() const {
+    return GetField<uint32_t>(VT_REQUESTS, 0);
+  }
+  uint64_t unread_tokens() const {
+    return GetField<uint64_t>(VT_UNREAD_TOKENS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_SERVER) &&
+           verifier.VerifyString(server()) &&
+           VerifyField<uint32_t>(verifier, VT_REQUESTS, 4) &&
+           VerifyField<uint64_t>(verifier, VT_UNREAD_TOKENS, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct ServerLoadBuilder {
+  typedef ServerLoad Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_server(flatbuffers::Offset<flatbuffers::String> server) {
+    fbb_.AddOffset(ServerLoad::VT_SERVER, server);
+  }
+  void add_requests(uint32_t requests) {
+    fbb_.AddElement<uint32_t>(ServerLoad::VT_REQUESTS, requests, 0);
+  }
+  void add_unread_tokens(uint64_t unread_tokens) {
+    fbb_.AddElement<uint64_t>(ServerLoad::VT_UNREAD_TOKENS, unread_tokens, 0);
+  }
+  explicit ServerLoadBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ServerLoad> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ServerLoad>(end);
+    fbb_.Required(o, ServerLoad::VT_SERVER);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ServerLoad> CreateServerLoad(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> server = 0,
+    uint32_t requests = 0,
+    uint64_t unread_tokens = 0) {
+  ServerLoadBuilder builder_(_fbb);
+  builder_.add_unread_tokens(unread_tokens);
+  builder_.add_requests(requests);
+  builder_.add_server(server);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<ServerLoad> CreateServerLoadDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *server = nullptr,
+    uint32_t requests = 0,
+    uint64_t unread_tokens = 0) {
+  auto server__ = server ? _fbb.CreateString(server) : 0;
+  return crocuslatch::wire::CreateServerLoad(
+      _fbb,
+      server__,
+      requests,
+      unread_tokens);
+}
+
+struct LoadUpdate FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LoadUpdateBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVERS = 4
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<crocuslatch::wire::ServerLoad>> *servers() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crocuslatch::wire::ServerLoad>> *>(VT_SERVERS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVERS) &&
+           verifier.VerifyVector(servers()) &&
+           verifier.VerifyVectorOfTables(servers()) &&
+           verifier.EndTable();
+  }
+};
+
+struct LoadUpdateBuilder {
+  typedef LoadUpdate Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_servers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocuslatch::wire::ServerLoad>>> servers) {
+    fbb_.AddOffset(LoadUpdate::VT_SERVERS, servers);
+  }
+  explicit LoadUpdateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<LoadUpdate> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<LoadUpdate>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<LoadUpdate> CreateLoadUpdate(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocuslatch::wire::ServerLoad>>> servers = 0) {
+  LoadUpdateBuilder builder_(_fbb);
+  builder_.add_servers(servers);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<LoadUpdate> CreateLoadUpdateDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<crocuslatch::wire::ServerLoad>> *servers = nullptr) {
+  auto servers__ = servers ? _fbb.CreateVector<flatbuffers::Offset<crocuslatch::wire::ServerLoad>>(*servers) : 0;
+  return crocuslatch::wire::CreateLoadUpdate(
+      _fbb,
+      servers__);
+}
+
 struct ErrorReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef ErrorReplyBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -1412,6 +1553,9 @@
   const crocuslatch::wire::StoreReply *body_as_StoreReply() const {
     return body_type() == crocuslatch::wire::Body::StoreReply ? static_cast<const crocuslatch::wire::StoreReply *>(body()) : nullptr;
   }
+  const crocuslatch::wire::LoadUpdate *body_as_LoadUpdate() const {
+    return body_type() == crocuslatch::wire::Body::LoadUpdate ? static_cast<const crocuslatch::wire::LoadUpdate *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_REQUEST_ID, 8) &&
@@ -1478,6 +1622,10 @@
   return body_as_StoreReply();
 }
 
+template<> inline const crocuslatch::wire::LoadUpdate *Envelope::body_as<crocuslatch::wire::LoadUpdate>() const {
+  return body_as_LoadUpdate();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -1576,6 +1724,10 @@
       auto ptr = reinterpret_cast<const crocuslatch::wire::StoreReply *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::LoadUpdate: {
+      auto ptr = reinterpret_cast<const crocuslatch::wire::LoadUpdate *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- /dev/null
+++ b/tests/correctness/load_sharing_test.cc
@@ -0,0 +1,98 @@
+#include "app/load_sharing.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+
+#include "tests/run_until.h"
+
+namespace crocuslatch {
+namespace {
+
+// A host with a placement of one engine and its network.
+struct Host {
+  Host(std::string own, std::map<std::string, std::string>* table)
+      : name(std::move(own)), addresses(table) {
+    placement.SetServers({{.id = "e0", .service = "model"}}, Millis{0});
+    PeerNetworkHooks hooks;
+    hooks.address_of = [this](const std::string& it) {
+      return addresses->at(it);
+    };
+    hooks.on_message = [this](const std::string& from,
+                              const wire::Envelope& message, const auto&) {
+      CHECK(sharing->OnMessage(from, message));
+      ++messages;
+    };
+    network = std::make_unique<PeerNetwork>(
+        PeerNetworkOptions{.secret = "a secret", .own = {{name, 1}, 1}}, hooks);
+    (*addresses)[name] = fmt::format("127.0.0.1:{}", network->port());
+    sharing = std::make_unique<LoadSharing>(
+        LoadSharingOptions{.repeat_period = Millis{200}}, loop, network.get(),
+        &placement, LoadSharingHooks{name, [this] {
+                                       std::vector<std::string> others;
+                                       for (const auto& [it, at] : *addresses) {
+                                         if (it != name) {
+                                           others.push_back(it);
+                                         }
+                                       }
+                                       return others;
+                                     }});
+    placement.OnChange([this] { sharing->OnChange(); });
+  }
+
+  std::string name;
+  std::map<std::string, std::string>* addresses;
+  EventLoop loop = MakeQtEventLoop();
+  Placement placement{{}, "a"};
+  int messages = 0;
+  std::unique_ptr<PeerNetwork> network;
+  std::unique_ptr<LoadSharing> sharing;
+};
+
+}  // namespace
+
+// Guards against decisions that see only a host's own part of the load.
+TEST_CASE("a host sees what another host has in flight") {
+  std::map<std::string, std::string> addresses;
+  Host a("a", &addresses);
+  Host b("b", &addresses);
+  const ModelWork work{.prompt_tokens = 8'000};
+  const auto load = [&b] {
+    return b.placement.View(b.loop.now()).front().load_ms;
+  };
+  const auto ticket = a.placement.Begin("e0", &work, a.loop.now());
+  // The first message opens the connection and may get lost; it is repeated.
+  CHECK(RunUntil([&] { return load() >= 200; }));
+  a.placement.End(ticket, DispatchResult::kServed, a.loop.now());
+  CHECK(RunUntil([&] { return load() == 0; }));
+}
+
+// Guards against traffic that grows with the fleet, and against hosts that
+// nobody tells.
+TEST_CASE("in a large fleet each host tells some, and about as many tell it") {
+  constexpr std::size_t kHosts = 370;
+  constexpr std::size_t kMost = 16;
+  std::vector<std::string> all;
+  for (std::size_t i = 0; i < kHosts; ++i) {
+    all.push_back(fmt::format("host-{}", i));
+  }
+  std::map<std::string, int> told;
+  for (const auto& own : all) {
+    auto others = all;
+    std::erase(others, own);
+    const auto chosen = ChooseLoadPeers(own, others, kMost);
+    CHECK(chosen.size() == kMost);
+    for (const auto& it : chosen) {
+      ++told[it];
+    }
+  }
+  CHECK(told.size() == kHosts);
+  CHECK(std::ranges::max_element(told, {}, [](const auto& it) {
+          return it.second;
+        })->second <= static_cast<int>(3 * kMost));
+  CHECK(ChooseLoadPeers("a", {"b", "c"}, kMost).size() == 2);
+}
+
+}  // namespace crocuslatch
--- /dev/null
+++ b/tests/correctness/placement_test.cc
@@ -0,0 +1,213 @@
+#include "core/placement.h"
+
+#include <catch2/catch.hpp>
+#include <memory>
+
+namespace crocuslatch {
+namespace {
+
+BackendEntry Engine(const std::string& id) {
+  return {.id = id,
+          .service = "model",
+          .address = "10.0.0.1:80",
+          .failure_domain = "a",
+          .slots = 64};
+}
+
+std::vector<BackendEntry> Engines(int n) {
+  std::vector<BackendEntry> entries;
+  for (int i = 0; i < n; ++i) {
+    entries.push_back(Engine("e" + std::to_string(i)));
+  }
+  return entries;
+}
+
+// A prompt of a shared part and a part of its own.
+ModelWork Work(const std::string& session, Tokens shared, Tokens own) {
+  return {.prompt_tokens = shared + own,
+          .max_output_tokens = 100,
+          .parts = {{session, shared}, {"own", own}}};
+}
+
+constexpr Millis kNow{100'000};
+
+std::string Dispatch(Placement& placement,
+                     const ModelWork& work,
+                     Millis now = kNow) {
+  const auto choice =
+      placement.Choose({.service = "model", .work = &work, .now = now});
+  REQUIRE(choice);
+  placement.Begin(choice->server_id, &work, now);
+  return choice->server_id;
+}
+
+// Routers whose loads are told to each other at once.
+struct Fleet {
+  explicit Fleet(int routers, int engines, bool shares) {
+    for (int i = 0; i < routers; ++i) {
+      all.push_back(std::make_unique<Placement>(PlacementOptions{}, "a"));
+      all.back()->SetServers(Engines(engines), kNow);
+    }
+    for (auto& from : all) {
+      if (!shares) {
+        continue;
+      }
+      from->OnChange([this, sender = from.get()] {
+        for (const auto& it : sender->TakeChangedLoads(kNow, Millis{1000})) {
+          for (auto& to : all) {
+            if (to.get() != sender) {
+              to->OnPeerLoad(std::to_string(sender - all.front().get()),
+                             it.server_id, it.load, kNow);
+            }
+          }
+        }
+      });
+    }
+  }
+
+  std::vector<std::unique_ptr<Placement>> all;
+};
+
+// Unread tokens at the busiest engine after each router got `each` requests of
+// as many sessions.
+Tokens BusiestAfterBurst(bool shares) {
+  constexpr int kRouters = 9;
+  constexpr int kEngines = 12;
+  Fleet fleet(kRouters, kEngines, shares);
+  std::map<std::string, Tokens> unread;
+  for (int i = 0; i < 4 * kRouters; ++i) {
+    const auto work = Work("session" + std::to_string(i), 0, 20'000);
+    unread[Dispatch(*fleet.all[static_cast<std::size_t>(i % kRouters)],
+                    work)] += work.prompt_tokens;
+  }
+  return std::ranges::max_element(unread, {},
+                                  [](const auto& it) { return it.second; })
+      ->second;
+}
+
+}  // namespace
+
+// Guards against sending a session away from its cached prompt.
+TEST_CASE("a session returns to the server that has its prompt") {
+  Placement placement({}, "a");
+  placement.SetServers(Engines(12), kNow);
+  const auto work = Work("s", 13'000, 3'000);
+  const auto home = Dispatch(placement, work);
+  for (int i = 0; i < 3; ++i) {
+    CHECK(Dispatch(placement, work) == home);
+  }
+  // Every router finds the same home without a message.
+  Placement other({}, "b");
+  other.SetServers(Engines(12), kNow);
+  CHECK(Dispatch(other, work) == home);
+}
+
+// Load pattern: a hot session. Guards against a queue that costs more than
+// reading the prompt elsewhere.
+TEST_CASE("a hot session moves on once its queue outweighs a second reading") {
+  Placement placement({}, "a");
+  placement.SetServers(Engines(2), kNow);
+  const auto work = Work("s", 1'000, 20'000);
+  const auto home = Dispatch(placement, work);
+  bool has_moved = false;
+  for (int i = 0; i < 3 && !has_moved; ++i) {
+    has_moved = Dispatch(placement, work) != home;
+  }
+  CHECK(has_moved);
+}
+
+// Load pattern: a burst of long prompts at all routers at once, before any
+// report shows it.
+TEST_CASE("routers that share their loads spread a burst of long prompts") {
+  const Tokens even = 4 * 9 * 20'000 / 12;
+  CHECK(BusiestAfterBurst(true) <= even + 20'000);
+  CHECK(BusiestAfterBurst(false) > BusiestAfterBurst(true));
+}
+
+// Guards against avoiding a server for good because its router died.
+TEST_CASE("what a peer told is forgotten when it is not repeated") {
+  PlacementOptions options;
+  Placement placement(options, "a");
+  placement.SetServers(Engines(1), kNow);
+  placement.OnPeerLoad("b", "e0", {3, 40'000}, kNow);
+  const double loaded = placement.View(kNow).front().load_ms;
+  CHECK(loaded >= 40'000 / options.prompt_tokens_per_ms);
+  const Millis later = kNow + options.peer_load_time + Millis{1};
+  CHECK(placement.View(later).front().load_ms == 0);
+  placement.OnPeerLoad("b", "e0", {3, 40'000}, kNow);
+  placement.OnPeerLoad("b", "e0", {}, kNow);
+  CHECK(placement.View(kNow).front().load_ms == 0);
+}
+
+// Guards against one peer's bad figures that empty a server.
+TEST_CASE("a peer's loads are cut to what a host can have in flight") {
+  PlacementOptions options;
+  Placement placement(options, "a");
+  placement.SetServers(Engines(1), kNow);
+  placement.OnPeerLoad("b", "e0", {2'000'000'000, 1LL << 60}, kNow);
+  placement.OnPeerLoad("c", "e0", {-5, -5}, kNow);
+  const double most = static_cast<double>(options.most_peer_tokens) /
+                          options.prompt_tokens_per_ms +
+                      options.most_peer_requests * options.ms_per_running;
+  CHECK(placement.View(kNow).front().load_ms <= most);
+  CHECK(placement.View(kNow).front().load_ms >= 0);
+}
+
+// Guards against messages about loads that have not changed, and against a
+// lost message that is never repeated.
+TEST_CASE("loads are told when they change and repeated while above zero") {
+  constexpr Millis kRepeat{1000};
+  Placement placement({}, "a");
+  placement.SetServers(Engines(3), kNow);
+  CHECK(placement.TakeChangedLoads(kNow, kRepeat).empty());
+  const auto work = Work("s", 0, 500);
+  const auto ticket = placement.Begin("e1", &work, kNow);
+  const std::vector<OwnLoad> begun{{"e1", {1, 500}}};
+  CHECK(placement.TakeChangedLoads(kNow, kRepeat) == begun);
+  CHECK(placement.TakeChangedLoads(kNow, kRepeat).empty());
+  CHECK(placement.TakeChangedLoads(kNow + kRepeat, kRepeat) == begun);
+  placement.End(ticket, DispatchResult::kServed, kNow);
+  const std::vector<OwnLoad> ended{{"e1", {}}};
+  CHECK(placement.TakeChangedLoads(kNow, kRepeat) == ended);
+  CHECK(placement.TakeChangedLoads(kNow + kRepeat, kRepeat).empty());
+}
+
+// Guards against traffic to a server that does not answer, and against a
+// service without servers because all of them failed once.
+TEST_CASE("a failing server is avoided unless no other is left") {
+  Placement placement({}, "a");
+  placement.SetServers(Engines(2), kNow);
+  const auto fail = [&](const std::string& id) {
+    placement.End(placement.Begin(id, nullptr, kNow),
+                  DispatchResult::kUnreachable, kNow);
+  };
+  fail("e0");
+  for (int i = 0; i < 5; ++i) {
+    CHECK(placement.Choose({.service = "model", .now = kNow})->server_id ==
+          "e1");
+  }
+  fail("e1");
+  CHECK(placement.Choose({.service = "model", .now = kNow}));
+  const std::set<std::string> tried{"e0", "e1"};
+  CHECK_FALSE(
+      placement.Choose({.service = "model", .tried = &tried, .now = kNow}));
+}
+
+// Guards against new work for a server that leaves, and against records of an
+// earlier server under the same name.
+TEST_CASE("leaving and replaced servers") {
+  Placement placement({}, "a");
+  auto entries = Engines(2);
+  placement.SetServers(entries, kNow);
+  const auto work = Work("s", 0, 500);
+  placement.Begin("e1", &work, kNow);
+  entries[0].is_leaving = true;
+  entries[1].born_ms = 7;
+  placement.SetServers(entries, kNow);
+  CHECK(placement.IsLeavingOrGone("e0"));
+  CHECK(placement.IsLeavingOrGone("e9"));
+  CHECK(placement.Choose({.service = "model", .now = kNow})->server_id == "e1");
+  CHECK(placement.View(kNow).back().in_flight == 0);
+}
+
+}  // namespace crocuslatch
