--- /dev/null
+++ b/tests/correctness/forwarding_test.cc
@@ -0,0 +1,307 @@
+#include "app/forwarding.h"
+
+#include <fmt/format.h>
+
+#include <catch2/catch.hpp>
+
+#include "tests/run_until.h"
+
+namespace crocuslatch {
+namespace {
+
+// What the account was charged.
+struct Ledger {
+  ReserveStatus answer = ReserveStatus::kReserved;
+  Tokens reserved = 0;
+  Tokens used = 0;
+  int settled = 0;
+};
+
+RoutingTablePointer MakeTable() {
+  DesiredState state;
+  state.version = 3;
+  state.requires_api_keys = true;
+  const auto route = [](std::string name, RouteKind kind) {
+    return RouteSpec{.name = name,
+                     .host = "h.example",
+                     .prefix = "/" + name + "/",
+                     .kind = kind,
+                     .timeout = Millis{2000},
+                     .shares = {{"s", 1}},
+                     .max_attempts = 2};
+  };
+  state.routes = {route("safe", RouteKind::kSafe),
+                  route("order", RouteKind::kUnsafe),
+                  route("stream", RouteKind::kStreaming)};
+  state.routes[2].has_prompts = true;
+  state.services = {{.name = "s", .engine = EngineSpec{64, 100'000, 4}}};
+  state.client_accounts = {{"acme", {"key"}, std::nullopt, 1'000'000}};
+  return std::make_shared<RoutingTable>(state);
+}
+
+// A router's request path between a caller and two backend servers that are
+// ports of one stand-in.
+struct Fixture {
+  Fixture()
+      : server({},
+               [this](const IncomingRequest& request, HttpReply reply) {
+                 arrived.push_back(request);
+                 serve(request, std::move(reply));
+               }),
+        second({}, [this](const IncomingRequest& request, HttpReply reply) {
+          arrived.push_back(request);
+          serve(request, std::move(reply));
+        }) {
+    const auto entry = [](const std::string& id, const HttpFront& at) {
+      return BackendEntry{.id = id,
+                          .service = "s",
+                          .address = fmt::format("127.0.0.1:{}", at.port()),
+                          .failure_domain = "a",
+                          .slots = 8};
+    };
+    placement.SetServers({entry("i-1", server), entry("i-2", second)},
+                         Millis{0});
+    context->loop = MakeQtEventLoop();
+    context->client = &client;
+    context->placement = &placement;
+    context->retries = &retries;
+    context->metrics = &metrics;
+    context->routing = [this] { return table; };
+    context->random = [] { return 0.5; };
+    context->reserve = [this](const auto&, Tokens amount, Millis,
+                              const auto& callback) {
+      ledger.reserved += amount;
+      callback(ledger.answer);
+    };
+    context->borrow = [](const auto&, Tokens, const auto& callback) {
+      callback(std::nullopt);
+    };
+    context->look = [](const auto&) { return BudgetView{}; };
+    context->settle = [this](const auto&, Tokens, Tokens used) {
+      ++ledger.settled;
+      ledger.used += used;
+    };
+    front = std::make_unique<HttpFront>(
+        HttpFrontOptions{},
+        [this](const IncomingRequest& request, HttpReply reply) {
+          ForwardRequest(context, request, std::move(reply));
+        });
+  }
+
+  HttpRequest Request(const std::string& method,
+                      const std::string& target) const {
+    return {.method = method,
+            .url = fmt::format("http://127.0.0.1:{}{}", front->port(), target),
+            .headers = {{"Host", "h.example"},
+                        {"Crocuslatch-Request-Id", "r1"},
+                        {"Authorization", "Bearer key"},
+                        {"Crocuslatch-Model", "m"},
+                        {"Crocuslatch-Token-Counts", "1000,80"},
+                        {"Crocuslatch-Prompt-Prefix", "a:800,b:200"}},
+            .body = method == "POST" ? "bread" : ""};
+  }
+
+  struct Answer {
+    int status = 0;
+    std::string body;
+    HttpHeaders headers;
+  };
+
+  Answer Ask(const HttpRequest& request) {
+    std::optional<Answer> answer;
+    caller.SendWhole(request, [&](HttpEnd, int status, const HttpHeaders& all,
+                                  const std::string& body) {
+      answer = Answer{status, body, all};
+    });
+    REQUIRE(RunUntil([&] { return answer.has_value(); }));
+    return *answer;
+  }
+
+  static HttpHeaders Sealed() {
+    return {{"Crocuslatch-Request-Id", "r1"},
+            {"Crocuslatch-Replica-Seal", "s"}};
+  }
+
+  RoutingTablePointer table = MakeTable();
+  Ledger ledger;
+  std::vector<IncomingRequest> arrived;
+  std::function<void(const IncomingRequest&, HttpReply)> serve =
+      [](const IncomingRequest&, HttpReply reply) {
+        reply.SendWhole(200, Sealed(), "done");
+      };
+  HttpFront server;
+  HttpFront second;
+  HttpClient client;
+  HttpClient caller;
+  Placement placement{{}, "a"};
+  RetryBudget retries{{.slack = 10}};
+  Metrics metrics;
+  std::shared_ptr<ForwardContext> context = std::make_shared<ForwardContext>();
+  std::unique_ptr<HttpFront> front;
+};
+
+}  // namespace
+
+// Guards against a target or body that changes on the way, and against headers
+// that only the router may set.
+TEST_CASE("a request is forwarded unchanged with the router's headers") {
+  Fixture it;
+  auto request = it.Request("POST", "/order/a%2Fb//c/../d%41?x=%7e+%20");
+  request.headers.push_back({"Crocuslatch-Tenant", "other"});
+  request.headers.push_back({"Crocuslatch-Cache-Hold", "1"});
+  request.headers.push_back({"X-Own", "kept"});
+  const auto answer = it.Ask(request);
+  CHECK(answer.status == 200);
+  CHECK(answer.body == "done");
+  CHECK(FindHeader(answer.headers, "Crocuslatch-Replica-Seal") == "s");
+  REQUIRE(it.arrived.size() == 1);
+  const auto& got = it.arrived[0];
+  CHECK(got.target == "/order/a%2Fb//c/../d%41?x=%7e+%20");
+  CHECK(got.body == "bread");
+  CHECK(FindHeader(got.headers, "Crocuslatch-Tenant") == "acme");
+  CHECK(FindHeader(got.headers, "Crocuslatch-Cache-Hold").empty());
+  CHECK(FindHeader(got.headers, "Authorization").empty());
+  CHECK(FindHeader(got.headers, "X-Own") == "kept");
+  CHECK(
+      FindHeader(got.headers, "Crocuslatch-Expect-Replica").starts_with("i-"));
+  const auto left = std::stoi(
+      std::string(FindHeader(got.headers, "Crocuslatch-Request-Deadline")));
+  CHECK(left <= 2000);
+  CHECK(left > 1500);
+}
+
+// Guards against an order that runs twice, and against a refusal that says
+// "not run" although the server read the order.
+TEST_CASE("a broken connection repeats only what may run again") {
+  const auto [target, dispatches, status] =
+      GENERATE(table<std::string, std::size_t, int>(
+          {{"/order/1", 1, 502}, {"/safe/1", 2, 200}}));
+  Fixture it;
+  it.serve = [&](const IncomingRequest&, HttpReply reply) {
+    if (it.arrived.size() == 1) {
+      reply.Abort();
+    } else {
+      reply.SendWhole(200, Fixture::Sealed(), "done");
+    }
+  };
+  CHECK(it.Ask(it.Request("POST", target)).status == status);
+  CHECK(it.arrived.size() == dispatches);
+}
+
+// Guards against a lost order where a server says that it did not run it.
+TEST_CASE("a request that was not executed goes to another server") {
+  Fixture it;
+  it.serve = [&](const IncomingRequest&, HttpReply reply) {
+    if (it.arrived.size() == 1) {
+      reply.SendWhole(
+          503,
+          {{"Crocuslatch-Request-Id", "r1"}, {"Crocuslatch-Not-Executed", "1"}},
+          "");
+    } else {
+      reply.SendWhole(200, Fixture::Sealed(), "done");
+    }
+  };
+  CHECK(it.Ask(it.Request("POST", "/order/1")).status == 200);
+  REQUIRE(it.arrived.size() == 2);
+  CHECK(FindHeader(it.arrived[0].headers, "Crocuslatch-Expect-Replica") !=
+        FindHeader(it.arrived[1].headers, "Crocuslatch-Expect-Replica"));
+}
+
+// Guards against a success that the server did not vouch for, or that answers
+// another request.
+TEST_CASE("an answer without its seal or of another request is no success") {
+  const HttpHeaders headers =
+      GENERATE(HttpHeaders{{"Crocuslatch-Request-Id", "r1"}},
+               HttpHeaders{{"Crocuslatch-Request-Id", "r0"},
+                           {"Crocuslatch-Replica-Seal", "s"}});
+  Fixture it;
+  it.serve = [&](const IncomingRequest&, HttpReply reply) {
+    reply.SendWhole(200, headers, "forged");
+    reply.CloseAfter();
+  };
+  auto request = it.Request("POST", "/order/1");
+  request.headers.push_back({"Crocuslatch-Request-Deadline", "400"});
+  const auto answer = it.Ask(request);
+  CHECK((answer.status == 502 || answer.status == 504));
+  CHECK(answer.body.find("forged") == std::string::npos);
+}
+
+TEST_CASE("unknown routes and keys are refused before any server") {
+  Fixture it;
+  CHECK(it.Ask(it.Request("GET", "/none/")).status == 404);
+  auto request = it.Request("GET", "/safe/1");
+  request.headers[2].second = "Bearer wrong";
+  CHECK(it.Ask(request).status == 401);
+  it.table = nullptr;
+  CHECK(it.Ask(it.Request("GET", "/safe/1")).status == 503);
+  CHECK(it.arrived.empty());
+}
+
+// Guards against an answer held back beyond its route's time, and against 503
+// for a request that may have run.
+TEST_CASE("a request ends at its time limit") {
+  Fixture it;
+  it.serve = [](const IncomingRequest&, const HttpReply&) {};
+  auto request = it.Request("POST", "/order/1");
+  request.headers.push_back({"Crocuslatch-Request-Deadline", "200"});
+  const Millis begin = it.context->loop.now();
+  CHECK(it.Ask(request).status == 504);
+  const Millis took = it.context->loop.now() - begin;
+  CHECK(took >= Millis{190});
+  CHECK(took < Millis{700});
+}
+
+TEST_CASE("a request beyond its budget is refused before any server") {
+  const auto [answer, status] =
+      GENERATE(table<ReserveStatus, int>({{ReserveStatus::kInsufficient, 402},
+                                          {ReserveStatus::kHeldElsewhere, 503},
+                                          {ReserveStatus::kUnavailable, 503}}));
+  Fixture it;
+  it.ledger.answer = answer;
+  const auto got = it.Ask(it.Request("POST", "/stream/1"));
+  CHECK(got.status == status);
+  CHECK(it.arrived.empty());
+  CHECK(it.ledger.used == 0);
+  if (status == 503) {
+    // A caller needs to know when to come back.
+    CHECK_FALSE(FindHeader(got.headers, "Retry-After").empty());
+  }
+}
+
+// Guards against charging another amount than what the caller got.
+TEST_CASE("a stream is charged for its prompt and its events") {
+  Fixture it;
+  it.serve = [](const IncomingRequest&, HttpReply reply) {
+    auto headers = Fixture::Sealed();
+    headers.push_back({"Content-Type", "text/event-stream"});
+    reply.StartStream(200, headers);
+    for (int i = 1; i <= 3; ++i) {
+      reply.Write(fmt::format("id: {}\ndata: x\n\n", i));
+    }
+    reply.EndStream();
+  };
+  const auto answer = it.Ask(it.Request("POST", "/stream/1"));
+  CHECK(answer.body ==
+        "id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\n");
+  REQUIRE(RunUntil([&] { return it.ledger.settled == 1; }));
+  CHECK(it.ledger.reserved == 1080);
+  CHECK(it.ledger.used == 1000 + 3 * 4);
+}
+
+// Guards against a budget that runs out by requests that never ran.
+TEST_CASE("a caller that leaves before the answer is charged nothing") {
+  Fixture it;
+  bool has_left = false;
+  it.serve = [&](const IncomingRequest&, HttpReply reply) {
+    reply.OnDisconnect([&] { has_left = true; });
+  };
+  auto call = it.caller.Send(it.Request("POST", "/stream/1"), {});
+  REQUIRE(RunUntil([&] { return it.arrived.size() == 1; }));
+  call.Cancel();
+  REQUIRE(RunUntil([&] { return it.ledger.settled == 1; }));
+  CHECK(it.ledger.used == 0);
+  // The server stops its work.
+  CHECK(has_left);
+}
+
+}  // namespace crocuslatch
