List a host as lost once, not again at each reading of its old stamp

Cause: the directory forgot a host whose stamp had not changed for 20 s, and took the same stamp for a new one at the next reading, so that dead hosts were asked for loans and store calls again and again. Change: lost hosts are remembered by the version of their stamp. Tests: hosts listed while stamped (failed before), loans, store calls through peers, recovery of a holder's tokens, stamps in an outage.

--- a/app/host_directory.cc
+++ b/app/host_directory.cc
@@ -18,7 +18,15 @@
   HostDirectoryOptions options;
   Store store;
   EventLoop loop;
+  // Also hosts that are lost, so that their old stamps do not count as new.
   std::map<std::string, Host> hosts;
+  Millis read_at{0};
+
+  // By the time of the last reading, so that hosts stay listed while the store
+  // is away.
+  bool IsListed(const Host& host) const {
+    return read_at - host.changed_at <= options.lost_after;
+  }
 
   void Read() {
     store.read_all(options.prefix,
@@ -34,10 +42,7 @@
       for (const auto& it : range.items) {
         Note(it);
       }
-      const Millis now = loop.now();
-      std::erase_if(hosts, [&](const auto& it) {
-        return now - it.second.changed_at > options.lost_after;
-      });
+      read_at = loop.now();
     }
     loop.after(options.period, [self = weak_from_this()] {
       if (const auto core = self.lock()) {
@@ -77,7 +82,9 @@
 std::vector<std::string> HostDirectory::Others() const {
   std::vector<std::string> names;
   for (const auto& [name, host] : core_->hosts) {
-    names.push_back(name);
+    if (core_->IsListed(host)) {
+      names.push_back(name);
+    }
   }
   return names;
 }
--- /dev/null
+++ b/tests/correctness/holder_recovery_test.cc
@@ -0,0 +1,183 @@
+#include "app/holder_recovery.h"
+
+#include <catch2/catch.hpp>
+
+#include "app/host_directory.h"
+#include "app/stamp_writer.h"
+#include "src/shard_codec.h"
+#include "tests/fake_loop.h"
+#include "tests/fake_store.h"
+
+namespace crocuslatch {
+namespace {
+
+const HolderId kOld{"h", 7};
+
+HostStamp Stamp(std::uint64_t incarnation, Millis at) {
+  return {.incarnation = incarnation,
+          .boot_time = at,
+          .wall_time = Millis{1'700'000'000'000} + at,
+          .peer_address = "10.0.0.1:7340"};
+}
+
+struct Fixture {
+  Fixture() {
+    store = fake.Hooks();
+    store.read_all = [this](const std::string& prefix, const auto& callback) {
+      StoreRange range{.status = fake.is_down ? StoreStatus::kUnknown
+                                              : StoreStatus::kOk};
+      for (const auto& [key, value] : fake.values) {
+        if (key.starts_with(prefix)) {
+          range.items.push_back({key, value.version, value.data});
+        }
+      }
+      loop.Hooks().post([callback, range] { callback(range); });
+    };
+    apply = [this](std::uint32_t shard, std::vector<ShardCommand> commands,
+                   Millis, const LedgerCallback& callback) {
+      applied.emplace_back(shard, commands.front());
+      const bool is_durable = failures-- <= 0;
+      loop.Hooks().post([callback, is_durable] {
+        callback(is_durable ? LedgerStatus::kDurable : LedgerStatus::kUnknown,
+                 std::vector<ShardReply>(is_durable ? 1 : 0));
+      });
+    };
+  }
+
+  // Returns the stamp's version once recovery is done.
+  std::optional<std::uint64_t> Recover(const HostStamp& start,
+                                       Millis limit = Millis{5000}) {
+    std::optional<std::uint64_t> version;
+    RecoverHolder({.host = "h",
+                   .stamp_key = "hosts/h",
+                   .ledger_prefix = "ledger/",
+                   .start = start},
+                  store, loop.Hooks(), apply,
+                  [&](std::uint64_t it) { version = it; });
+    loop.RunUntil([&] { return version.has_value(); }, limit);
+    return version;
+  }
+
+  void PutShard(std::uint32_t number, const HolderId& holder, Tokens tokens) {
+    ShardState state;
+    state.shard = number;
+    state.budgets["b"].limit = 1000;
+    state.budgets["b"].grants[holder].outstanding = tokens;
+    fake.Put("ledger/" + std::to_string(number), EncodeShardState(state), 0);
+  }
+
+  FakeLoop loop;
+  FakeStore fake{loop, 1};
+  Store store;
+  ApplyToShard apply;
+  std::vector<std::pair<std::uint32_t, ShardCommand>> applied;
+  int failures = 0;
+};
+
+}  // namespace
+
+// Guards against tokens that stay with a killed process until an operator acts.
+TEST_CASE("the next process takes back what the last one held") {
+  Fixture it;
+  it.fake.Put("hosts/h", EncodeHostStamp(Stamp(7, Millis{1000})), 0);
+  it.PutShard(1, kOld, 50);
+  it.PutShard(2, {"other", 7}, 50);
+  it.PutShard(3, kOld, 0);
+  it.failures = GENERATE(0, 2);
+  const auto tries = static_cast<std::size_t>(it.failures) + 1;
+  REQUIRE(it.Recover(Stamp(8, Millis{1900})) == 1);
+  REQUIRE(it.applied.size() == tries);
+  const ReclaimCommand expected{
+      kOld, Millis{900} + HostStampOptions{}.clock_tolerance};
+  CHECK(it.applied.back() ==
+        std::pair<std::uint32_t, ShardCommand>(1, expected));
+}
+
+// Guards against tokens that are taken back although they may be used.
+TEST_CASE("nothing is taken back when the clocks prove nothing") {
+  Fixture it;
+  it.PutShard(1, kOld, 50);
+  SECTION("no stamp") {
+    CHECK(it.Recover(Stamp(8, Millis{1900})) == 0);
+  }
+  SECTION("a damaged stamp") {
+    it.fake.Put("hosts/h", "1 7 x", 0);
+    CHECK(it.Recover(Stamp(8, Millis{1900})));
+  }
+  SECTION("the time of day was set") {
+    it.fake.Put("hosts/h", EncodeHostStamp(Stamp(7, Millis{1000})), 0);
+    auto start = Stamp(8, Millis{1900});
+    start.wall_time += Millis{2400};
+    CHECK(it.Recover(start));
+  }
+  CHECK(it.applied.empty());
+}
+
+// Guards against a new stamp over one that was not read.
+TEST_CASE("recovery waits for a store that is down") {
+  Fixture it;
+  it.fake.Put("hosts/h", EncodeHostStamp(Stamp(7, Millis{1000})), 0);
+  it.fake.is_down = true;
+  CHECK_FALSE(it.Recover(Stamp(8, Millis{1900}), Millis{3000}));
+}
+
+// Guards against bounds that are held down by stamps that nobody can read, and
+// against a host that never stamps again after an outage.
+TEST_CASE("during an outage the same stamp is tried until it is written") {
+  Fixture it;
+  std::vector<Millis> stamped;
+  StampWriter writer({.key = "hosts/h"}, it.store, it.loop.Hooks(),
+                     {.read_clocks = [&] { return Stamp(8, it.loop.now()); },
+                      .may_stamp = [] { return true; },
+                      .on_stamp = [&](Millis now) { stamped.push_back(now); }});
+  it.fake.is_down = true;
+  writer.Start(0);
+  it.loop.RunFor(Millis{5000});
+  CHECK(stamped.size() == 1);
+  it.fake.is_down = false;
+  it.loop.RunFor(Millis{3000});
+  CHECK(stamped.size() > 2);
+  const auto stored = DecodeHostStamp(it.fake.Get("hosts/h").value);
+  REQUIRE(stored);
+  CHECK(stored->boot_time == stamped.back());
+}
+
+// Guards against a stamp that vouches for use beyond what the ledger knows.
+TEST_CASE("no stamp is made while more is used than the ledger knows") {
+  Fixture it;
+  bool may_stamp = false;
+  StampWriter writer({.key = "hosts/h"}, it.store, it.loop.Hooks(),
+                     {.read_clocks = [&] { return Stamp(8, it.loop.now()); },
+                      .may_stamp = [&] { return may_stamp; },
+                      .on_stamp = [](Millis) {}});
+  writer.Start(0);
+  it.loop.RunFor(Millis{2000});
+  CHECK(it.fake.writes == 0);
+  may_stamp = true;
+  it.loop.RunFor(Millis{2000});
+  CHECK(it.fake.writes >= 2);
+}
+
+// Guards against asking hosts that are gone, and against losing the list of
+// hosts in an outage, when it is needed most.
+TEST_CASE("hosts are listed while they are stamped") {
+  Fixture it;
+  HostDirectoryOptions options{.prefix = "hosts/", .own_host = "h"};
+  HostDirectory directory(options, it.store, it.loop.Hooks());
+  it.fake.Put("hosts/h", EncodeHostStamp(Stamp(1, Millis{1})), 0);
+  it.fake.Put("hosts/p", EncodeHostStamp(Stamp(1, Millis{1})), 0);
+  it.fake.Put("hosts/q", "damaged", 0);
+  directory.Start();
+  it.loop.RunFor(Millis{10});
+  CHECK(directory.Others() == std::vector<std::string>{"p"});
+  CHECK(directory.AddressOf("p") == "10.0.0.1:7340");
+  CHECK(directory.AddressOf("q").empty());
+  it.fake.is_down = true;
+  it.loop.RunFor(2 * options.lost_after);
+  CHECK(directory.Others() == std::vector<std::string>{"p"});
+  it.fake.is_down = false;
+  it.loop.RunFor(2 * options.period);
+  CHECK(directory.Others().empty());
+}
+
+}  // namespace crocuslatch
--- a/tests/correctness/load_sharing_test.cc
+++ b/tests/correctness/load_sharing_test.cc
@@ -6,48 +6,28 @@
 #include <catch2/catch.hpp>
 #include <map>
 
+#include "tests/peer_host.h"
 #include "tests/run_until.h"
 
 namespace crocuslatch {
 namespace {
 
-// A host with a placement of one engine and its network.
-struct Host {
-  Host(std::string own, std::map<std::string, std::string>* table)
-      : name(std::move(own)), addresses(table) {
+// A host with a placement of one engine.
+struct Host : PeerHost {
+  Host(std::string own, PeerAddresses* table)
+      : PeerHost(std::move(own), table) {
     placement.SetServers({{.id = "e0", .service = "model"}}, Millis{0});
-    PeerNetworkHooks hooks;
-    hooks.address_of = [this](const std::string& it) {
-      return addresses->at(it);
-    };
-    hooks.on_message = [this](const std::string& from,
-                              const wire::Envelope& message, const auto&) {
-      CHECK(sharing->OnMessage(from, message));
-      ++messages;
-    };
-    network = std::make_unique<PeerNetwork>(
-        PeerNetworkOptions{.secret = "a secret", .own = {{name, 1}, 1}}, hooks);
-    (*addresses)[name] = fmt::format("127.0.0.1:{}", network->port());
     sharing = std::make_unique<LoadSharing>(
         LoadSharingOptions{.repeat_period = Millis{200}}, loop, network.get(),
-        &placement, LoadSharingHooks{name, [this] {
-                                       std::vector<std::string> others;
-                                       for (const auto& [it, at] : *addresses) {
-                                         if (it != name) {
-                                           others.push_back(it);
-                                         }
-                                       }
-                                       return others;
-                                     }});
+        &placement, LoadSharingHooks{name, [this] { return Others(); }});
+    on_message = [this](const std::string& from, const wire::Envelope& message,
+                        const auto&) {
+      CHECK(sharing->OnMessage(from, message));
+    };
     placement.OnChange([this] { sharing->OnChange(); });
   }
 
-  std::string name;
-  std::map<std::string, std::string>* addresses;
-  EventLoop loop = MakeQtEventLoop();
   Placement placement{{}, "a"};
-  int messages = 0;
-  std::unique_ptr<PeerNetwork> network;
   std::unique_ptr<LoadSharing> sharing;
 };
 
@@ -55,7 +35,7 @@
 
 // Guards against decisions that see only a host's own part of the load.
 TEST_CASE("a host sees what another host has in flight") {
-  std::map<std::string, std::string> addresses;
+  PeerAddresses addresses;
   Host a("a", &addresses);
   Host b("b", &addresses);
   const ModelWork work{.prompt_tokens = 8'000};
