--- a/tests/correctness/forwarding_test.cc
+++ b/tests/correctness/forwarding_test.cc
@@ -21,7 +21,7 @@
   DesiredState state;
   state.version = 3;
   state.requires_api_keys = true;
-  const auto route = [](std::string name, RouteKind kind) {
+  const auto route = [](const std::string& name, RouteKind kind) {
     return RouteSpec{.name = name,
                      .host = "h.example",
                      .prefix = "/" + name + "/",
--- a/tests/correctness/load_sharing_test.cc
+++ b/tests/correctness/load_sharing_test.cc
@@ -55,6 +55,7 @@
   constexpr std::size_t kHosts = 370;
   constexpr std::size_t kMost = 16;
   std::vector<std::string> all;
+  all.reserve(kHosts);
   for (std::size_t i = 0; i < kHosts; ++i) {
     all.push_back(fmt::format("host-{}", i));
   }
--- a/tests/correctness/placement_test.cc
+++ b/tests/correctness/placement_test.cc
@@ -16,6 +16,7 @@
 
 std::vector<BackendEntry> Engines(int n) {
   std::vector<BackendEntry> entries;
+  entries.reserve(static_cast<std::size_t>(n));
   for (int i = 0; i < n; ++i) {
     entries.push_back(Engine("e" + std::to_string(i)));
   }
