--- a/app/relayed_store.cc
+++ b/app/relayed_store.cc
@@ -5,6 +5,7 @@
 #include <optional>
 #include <utility>
 
+#include "app/peer_order.h"
 #include "src/log.h"
 
 namespace crocuslatch {
@@ -288,27 +289,13 @@
     Ask(pending, std::move(peers));
   }
 
-  // The last of the list is asked first.
-  std::vector<std::string> PeersToAsk() {
-    const Millis now = loop.now();
-    std::vector<std::pair<double, std::string>> keyed;
-    for (auto& it : hooks.peers()) {
-      const auto found = avoid_until.find(it);
-      if (found == avoid_until.end() || now >= found->second) {
-        keyed.emplace_back(it == relay ? 1.0 : hooks.random(), it);
-      }
-    }
-    std::ranges::sort(keyed);
-    std::vector<std::string> peers;
-    peers.reserve(keyed.size());
-    for (auto& it : keyed) {
-      peers.push_back(std::move(it.second));
-    }
-    if (peers.size() > options.max_peers) {
-      peers.erase(peers.begin(),
-                  peers.end() - static_cast<std::ptrdiff_t>(options.max_peers));
-    }
-    return peers;
+  std::vector<std::string> PeersToAsk() const {
+    return OrderPeers({.peers = hooks.peers(),
+                       .avoid_until = avoid_until,
+                       .now = loop.now(),
+                       .random = hooks.random,
+                       .most = options.max_peers,
+                       .preferred = relay});
   }
 
   void Ask(const PendingPtr& pending, std::vector<std::string> peers) {
--- a/app/token_loans.cc
+++ b/app/token_loans.cc
@@ -4,6 +4,7 @@
 #include <map>
 #include <utility>
 
+#include "app/peer_order.h"
 #include "src/log.h"
 
 namespace crocuslatch {
@@ -49,27 +50,12 @@
   std::uint64_t last_id = 0;
   std::map<std::string, Millis> avoid_until;
 
-  std::vector<std::string> PeersToAsk() {
-    auto peers = hooks.peers();
-    const Millis now = loop.now();
-    std::erase_if(peers, [&](const auto& it) {
-      const auto found = avoid_until.find(it);
-      return found != avoid_until.end() && now < found->second;
-    });
-    // A random order spreads the load and the reserves.
-    std::vector<std::pair<double, std::string>> keyed;
-    keyed.reserve(peers.size());
-    for (auto& it : peers) {
-      keyed.emplace_back(hooks.random(), std::move(it));
-    }
-    std::ranges::sort(keyed);
-    peers.clear();
-    for (auto& it : keyed) {
-      if (peers.size() < options.max_peers) {
-        peers.push_back(std::move(it.second));
-      }
-    }
-    return peers;
+  std::vector<std::string> PeersToAsk() const {
+    return OrderPeers({.peers = hooks.peers(),
+                       .avoid_until = avoid_until,
+                       .now = loop.now(),
+                       .random = hooks.random,
+                       .most = options.max_peers});
   }
 
   void Ask(std::vector<std::string> peers,
--- a/core/placement.cc
+++ b/core/placement.cc
@@ -312,12 +312,6 @@
       now};
 }
 
-bool Placement::HasServer(std::string_view service) const {
-  return std::ranges::any_of(servers_, [&](const auto& it) {
-    return it.second.entry.service == service && !it.second.entry.is_leaving;
-  });
-}
-
 bool Placement::IsLeavingOrGone(const std::string& server_id) const {
   const auto it = servers_.find(server_id);
   return it == servers_.end() || it->second.entry.is_leaving;
--- a/core/placement.h
+++ b/core/placement.h
@@ -149,7 +149,6 @@
                   const InFlightLoad& load,
                   Millis now);
 
-  bool HasServer(std::string_view service) const;
   bool IsLeavingOrGone(const std::string& server_id) const;
   std::vector<ServerView> View(Millis now) const;
 
