Write the ledger through one host for ten, and gather its writes

Change: ledger commands, stamps and readings of the registry go to one of the hosts (core/ledger_writers, rendezvous by group of ten; any host still writes for itself if the writer does not answer). Readings within 250 ms are shared, and one older than the last is not used.

Avoidance of a writer up to 8 s: after a cut of 55 of 64 hosts 20,000 writes were lost in 20 s; at most 2 s now.

--- a/app/front.cc
+++ b/app/front.cc
@@ -16,6 +16,8 @@
 #include "app/server_registry_reader.h"
 #include "app/stamp_writer.h"
 #include "app/token_loans.h"
+#include "app/write_batching.h"
+#include "core/ledger_writers.h"
 #include "io/http_client.h"
 #include "io/http_front.h"
 #include "platform/backend_entry_codec.h"
@@ -48,6 +50,8 @@
 // 256 bits.
 constexpr int kSecretWords = 4;
 constexpr Millis kSecretRetry{200};
+// Longest wait for the host that writes a shard: ten times a usual answer.
+constexpr Millis kWriterTimeout{250};
 // Until both sides are authenticated; hosts are a millisecond apart.
 constexpr Millis kPeerConnectTimeout{300};
 // Ledger shards. Callers of an account stay with a few hosts, so a shard with
@@ -114,6 +118,8 @@
         loop(MakeFrontLoop()),
         relayed_store({}, MakeOwnPath(), loop, MakeRelayHooks()),
         store(relayed_store.port()),
+        gathered_store(MakeGatheredStore()),
+        writers({}, settings.host_name),
         placement({}, settings.failure_domain),
         retries({.window = settings.retry_window,
                  .ratio = settings.retry_ratio * 0.85}),
@@ -127,6 +133,8 @@
   HttpClient client;
   RelayedStore relayed_store;
   Store store;
+  Store gathered_store;
+  LedgerWriters writers;
   Placement placement;
   RetryBudget retries;
   const HolderId holder;
@@ -138,6 +146,8 @@
   std::unique_ptr<TokenLoans> loans;
   std::unique_ptr<LoadSharing> load_sharing;
   std::unique_ptr<StampWriter> stamps;
+  // Writes shards by this host.
+  ApplyToShard own_ledger;
   std::unique_ptr<GrantTable> grants;
   std::shared_ptr<ForwardContext> context;
   std::unique_ptr<HttpFront> callers;
@@ -149,14 +159,64 @@
   Millis stop_began{0};
 
   Store MakeOwnPath() {
-    return platform::MakeKvStore(
-        {.address = settings.store_address,
-         .on_call =
-             [this](std::string_view call, std::string_view result) {
-               counters.Count("store_calls", "call",
-                              fmt::format("{}:{}", call, result));
-             }},
-        loop, &store_client);
+    return BatchWrites(
+        {},
+        platform::MakeKvStore(
+            {.address = settings.store_address,
+             .on_call =
+                 [this](std::string_view call, std::string_view result) {
+                   counters.Count("store_calls", "call",
+                                  fmt::format("{}:{}", call, result));
+                 }},
+            loop, &store_client),
+        loop);
+  }
+
+  // Hosts to ask for writing the shard, best first.
+  std::vector<std::string> WritersOf(std::uint32_t shard) const {
+    return peers ? writers.Rank(shard, hosts->Others(), loop.now())
+                 : std::vector<std::string>{settings.host_name};
+  }
+
+  void SendToWriter(const std::string& host,
+                    std::uint32_t shard,
+                    std::vector<ShardCommand> commands,
+                    Millis timeout,
+                    const LedgerCallback& callback) {
+    peers->SendCommands(
+        host, shard, std::move(commands), timeout,
+        [this, host, callback](LedgerStatus status, const auto& replies) {
+          writers.OnAnswer(host, status == LedgerStatus::kDurable, loop.now());
+          callback(status, replies);
+        });
+  }
+
+  // Writes the own shards and those that peers ask for.
+  ApplyToShard MakeLedger() {
+    return MakeLedgerClient(
+        {.own_host = settings.host_name,
+         .peer_timeout = kWriterTimeout,
+         .max_peers = 1},
+        loop, [this](std::uint32_t shard) { return WritersOf(shard); },
+        [this](const std::string& host, std::uint32_t shard, auto commands,
+               Millis timeout, const LedgerCallback& callback) {
+          SendToWriter(host, shard, std::move(commands), timeout, callback);
+        },
+        own_ledger);
+  }
+
+  // Stamps and readings of a group of hosts go through one of its writers.
+  Store MakeGatheredStore() {
+    return relayed_store.port_through(
+        [this]() -> std::string {
+          const auto group =
+              static_cast<std::uint32_t>(StableHash(settings.host_name));
+          const auto host = WritersOf(group).front();
+          return host == settings.host_name ? std::string() : host;
+        },
+        [this](const std::string& host, bool is_answered) {
+          writers.OnAnswer(host, is_answered, loop.now());
+        });
   }
 
   RelayedStoreHooks MakeRelayHooks() {
@@ -169,7 +229,7 @@
     hosts = std::make_unique<HostDirectory>(
         HostDirectoryOptions{.prefix = std::string(kHostsPrefix),
                              .own_host = settings.host_name},
-        store, loop);
+        gathered_store, loop);
     StartBudgets();
     StartContext();
     follower = std::make_unique<DesiredStateFollower>(
@@ -180,7 +240,7 @@
     registry = std::make_unique<ServerRegistryReader>(
         ServerRegistryReaderOptions{.prefix =
                                         std::string(platform::kServersPrefix)},
-        store, loop, &platform::DecodeBackendEntry,
+        gathered_store, loop, &platform::DecodeBackendEntry,
         [this](const auto& it) { placement.SetServers(it, loop.now()); });
     callers = std::make_unique<HttpFront>(
         ListenOptions(settings.caller_address),
@@ -230,7 +290,7 @@
 
   void StartBudgets() {
     auto options = MakeShardWriterOptions();
-    options.settle_delay = Millis{20};
+    options.settle_delay = Millis{5};
     options.retry_max = Millis{150};
     options.refresh_age = Millis{50};
     GrantTableOptions grant_options;
@@ -259,10 +319,10 @@
     grant_options.armed_part = kArmedPart;
     grant_options.low_part = kLowPart;
     grant_options.pace_floor = kPaceFloor;
-    const auto ledger = MakeShardWriter(options, store, loop);
-    StartStamps(ledger);
+    own_ledger = MakeShardWriter(options, store, loop);
+    StartStamps();
     grants = std::make_unique<GrantTable>(
-        grant_options, holder, loop, ledger,
+        grant_options, holder, loop, MakeLedger(),
         [this](const std::string& name) -> std::optional<Tokens> {
           const auto table = follower->current();
           const auto* account =
@@ -330,6 +390,7 @@
     options.own = {holder, WallNow().count()};
     options.connect_timeout = kPeerConnectTimeout;
     PeerNetworkHooks hooks;
+    hooks.apply = own_ledger;
     hooks.address_of = [this](const std::string& host) {
       return hosts->AddressOf(host);
     };
@@ -372,10 +433,10 @@
     placement.OnChange([this] { load_sharing->OnChange(); });
   }
 
-  void StartStamps(const ApplyToShard& ledger) {
+  void StartStamps() {
     const auto key = std::string(kHostsPrefix) + settings.host_name;
     stamps = std::make_unique<StampWriter>(
-        StampWriterOptions{.key = key}, store, loop,
+        StampWriterOptions{.key = key}, gathered_store, loop,
         StampWriterHooks{
             .read_clocks = [this] { return ReadClocks(); },
             .may_stamp =
@@ -385,7 +446,7 @@
                    .stamp_key = key,
                    .ledger_prefix = "ledger/",
                    .start = started_at},
-                  store, loop, ledger,
+                  store, loop, own_ledger,
                   [this](std::uint64_t version) { stamps->Start(version); });
   }
 
--- a/app/relayed_store.cc
+++ b/app/relayed_store.cc
@@ -173,6 +173,12 @@
   };
   using PendingPtr = std::shared_ptr<Pending>;
 
+  struct Reading {
+    Millis begun_at{Millis::min() / 2};
+    std::optional<Answer> answer;
+    std::vector<OnAnswer> waiting;
+  };
+
   RelayedStoreOptions options;
   Store own;
   EventLoop loop;
@@ -185,6 +191,8 @@
   // The peer that helped last, and those that could not.
   std::string relay;
   std::map<std::string, Millis> avoid_until;
+  // The last reading of each prefix.
+  std::map<std::string, Reading> readings;
 
   void Start(const Call& call, OnAnswer on_answer) {
     const auto pending = std::make_shared<Pending>();
@@ -208,6 +216,71 @@
     }
   }
 
+  // Asks the host that gathers calls, and takes the usual way if it fails.
+  void StartThrough(
+      const std::string& host,
+      const Call& call,
+      OnAnswer on_answer,
+      const std::function<void(const std::string&, bool)>& on_host) {
+    network->Request(
+        host, PackCall(call), options.gatherer_timeout,
+        [self = weak_from_this(), host, call, on_host,
+         on_answer = std::move(on_answer)](const wire::Envelope* message) {
+          const auto core = self.lock();
+          if (!core) {
+            return;
+          }
+          const auto answer = ReadAnswer(message);
+          const bool is_answered =
+              answer && answer->status != StoreStatus::kUnknown;
+          on_host(host, is_answered);
+          if (!is_answered) {
+            core->Start(call, on_answer);
+            return;
+          }
+          core->hooks.on_contact();
+          on_answer(*answer);
+        });
+  }
+
+  // One reading of the prefix for all that ask within a short time.
+  void ReadShared(const std::string& prefix, OnAnswer on_answer) {
+    const Millis now = loop.now();
+    auto& reading = readings[prefix];
+    const bool is_fresh = now - reading.begun_at < options.shared_reading_time;
+    if (is_fresh && reading.answer) {
+      loop.post([answer = *reading.answer, on_answer = std::move(on_answer)] {
+        on_answer(answer);
+      });
+      return;
+    }
+    reading.waiting.push_back(std::move(on_answer));
+    if (is_fresh && reading.waiting.size() > 1) {
+      return;
+    }
+    reading.begun_at = now;
+    reading.answer.reset();
+    // Not through a peer, which may be the one that asks.
+    Make(own, {.kind = wire::StoreCall::ReadAll, .key = prefix},
+         [self = weak_from_this(), prefix](const Answer& answer) {
+           if (const auto core = self.lock()) {
+             core->SetBroken(answer.status == StoreStatus::kUnknown,
+                             answer.error);
+             core->OnReading(prefix, answer);
+           }
+         });
+  }
+
+  void OnReading(const std::string& prefix, const Answer& answer) {
+    auto& reading = readings[prefix];
+    if (answer.status == StoreStatus::kOk) {
+      reading.answer = answer;
+    }
+    for (const auto& it : std::exchange(reading.waiting, {})) {
+      it(answer);
+    }
+  }
+
   void MakeOwn(const PendingPtr& pending) {
     ++pending->open_paths;
     const Millis begun = loop.now();
@@ -396,6 +469,41 @@
   return port;
 }
 
+Store RelayedStore::port_through(
+    std::function<std::string()> gatherer,
+    std::function<void(const std::string& host, bool)> on_answer) {
+  const auto host_to_ask = [core = core_, gatherer = std::move(gatherer)] {
+    return core->network == nullptr ? std::string() : gatherer();
+  };
+  Store port = this->port();
+  port.put = [core = core_, usual = port.put, host_to_ask, on_answer](
+                 const auto& key, const auto& value, auto expected,
+                 const StoreCallback& callback) {
+    const auto host = host_to_ask();
+    if (host.empty()) {
+      usual(key, value, expected, callback);
+      return;
+    }
+    core->StartThrough(
+        host, {wire::StoreCall::Put, key, value, expected, Millis{0}},
+        [callback](const Answer& it) { callback(ToResult(it)); }, on_answer);
+  };
+  port.read_all = [core = core_, host_to_ask, on_answer](
+                      const auto& prefix, const StoreRangeCallback& callback) {
+    const auto on_range = [callback](const Answer& it) {
+      callback(ToRange(it));
+    };
+    const auto host = host_to_ask();
+    if (host.empty()) {
+      core->ReadShared(prefix, on_range);
+      return;
+    }
+    core->StartThrough(host, {.kind = wire::StoreCall::ReadAll, .key = prefix},
+                       on_range, on_answer);
+  };
+  return port;
+}
+
 bool RelayedStore::OnMessage(
     const wire::Envelope& message,
     const std::function<void(const PackBody&)>& reply) {
@@ -407,11 +515,16 @@
     reply(PackAnswer({}));
     return true;
   }
+  const auto on_answer = [reply](const Answer& it) { reply(PackAnswer(it)); };
+  if (request->call() == wire::StoreCall::ReadAll) {
+    core_->ReadShared(request->key()->str(), on_answer);
+    return true;
+  }
   Make(core_->own,
        {request->call(), request->key()->str(),
         std::string(BytesOf(request->value())), request->version(),
         Millis{request->wait_ms()}},
-       [reply](const Answer& it) { reply(PackAnswer(it)); });
+       on_answer);
   return true;
 }
 
--- a/app/relayed_store.h
+++ b/app/relayed_store.h
@@ -24,6 +24,12 @@
   // this multiple of a usual answer, so that a slow store is not asked twice.
   Millis hedge_after{150};
   double hedge_factor = 3;
+  // Longest wait for the peer that gathers calls before the own path is taken:
+  // ten times a usual answer.
+  Millis gatherer_timeout{300};
+  // A reading of a prefix answers all hosts that ask within this time. Leaving
+  // servers must be known within 2 s, and hosts read every 0.9 s.
+  Millis shared_reading_time{250};
   // Longest wait for a peer beyond what the call itself may wait.
   Millis peer_timeout{600};
   // After a failed call the own path is tried again at this spacing; calls
@@ -57,6 +63,13 @@
   // The port to use instead of the own path.
   Store port();
 
+  // The same port, but a put or a reading of a prefix first goes to the peer
+  // that `gatherer` names, which gathers the calls of many hosts; an empty name
+  // means the own path. `on_answer` is told whether the peer answered.
+  Store port_through(
+      std::function<std::string()> gatherer,
+      std::function<void(const std::string& host, bool)> on_answer);
+
   // Makes a peer's call by the own path; false if the message is none.
   bool OnMessage(const wire::Envelope& message,
                  const std::function<void(const PackBody&)>& reply);
--- a/app/server_registry_reader.cc
+++ b/app/server_registry_reader.cc
@@ -22,6 +22,8 @@
   std::set<std::string> damaged;
   std::set<std::string> leaving;
   bool is_store_lost = false;
+  // Of the newest reading.
+  std::uint64_t revision = 0;
 
   void Read() {
     const Millis asked_at = loop.now();
@@ -47,6 +49,13 @@
       return;
     }
     const Millis now = loop.now();
+    // A peer's reading may be older than an own one, and would undo what a
+    // server said since.
+    if (range.revision < revision) {
+      ReadAfter(options.retry_delay);
+      return;
+    }
+    revision = range.revision;
     roster.OnReading(DecodeAll(range.items), asked_at, now);
     const auto entries = roster.Entries();
     LogChanges(entries, range.revision);
--- /dev/null
+++ b/core/ledger_writers.h
@@ -0,0 +1,61 @@
+#ifndef CORE_LEDGER_WRITERS_H_
+#define CORE_LEDGER_WRITERS_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "src/types.h"
+
+// Defines which host writes which part of the shared state.
+//
+// Load pattern: all hosts settle and refill the same budgets several times a
+// second. If each wrote for itself, the writes would grow with the number of
+// hosts and would lose against one another; one writer for a group of shards
+// sends the changes of all hosts in one transaction.
+//
+// Hosts need not agree: every write has a condition, so that two writers of
+// one shard only cost writes.
+
+namespace crocuslatch {
+
+struct LedgerWritersOptions {
+  // Hosts for each writer. A writer of nine hosts sends 12 KB every 30 ms; at
+  // 64 hosts one writer alone would fill a link of 10 Mbit/s.
+  std::size_t hosts_per_writer = 10;
+  // A writer that did not answer is passed over for this time, which doubles
+  // with each further failure. Hosts that pass over a writer become writers
+  // themselves, so that after a cut of 55 of 64 hosts, 8 s of it gave 20,000
+  // lost writes in 20 s.
+  Millis first_avoidance{1000};
+  Millis longest_avoidance{2000};
+};
+
+class LedgerWriters {
+ public:
+  LedgerWriters(LedgerWritersOptions options, std::string own_host);
+
+  // Hosts to ask for writing the shard, best first, ending with the own host
+  // if others are better. `others` are the live hosts without the own one.
+  std::vector<std::string> Rank(std::uint32_t shard,
+                                const std::vector<std::string>& others,
+                                Millis now) const;
+
+  void OnAnswer(const std::string& host, bool is_answered, Millis now);
+
+ private:
+  struct Avoidance {
+    Millis time{0};
+    Millis until{0};
+  };
+
+  const LedgerWritersOptions options_;
+  const std::string own_host_;
+  std::map<std::string, Avoidance, std::less<>> avoided_;
+};
+
+}  // namespace crocuslatch
+
+#endif  // CORE_LEDGER_WRITERS_H_
--- a/src/grant_table.cc
+++ b/src/grant_table.cc
@@ -747,7 +747,9 @@
     return std::nullopt;
   }
   if (exchange.want > 0 && !budget.waiters.empty()) {
-    exchange.least = budget.waiters.front().amount - kept;
+    // What is kept may cover the request, and only the bound holds it up.
+    exchange.least =
+        std::max<Tokens>(0, budget.waiters.front().amount - kept);
   }
   exchange.budget = name;
   exchange.holder = holder_;
--- a/src/ledger_client.cc
+++ b/src/ledger_client.cc
@@ -7,9 +7,6 @@
 namespace crocuslatch {
 namespace {
 
-// Peers asked before the router writes the shard itself.
-constexpr std::size_t kMaxPeers = 2;
-
 struct Client {
   LedgerClientOptions options;
   EventLoop loop;
@@ -61,7 +58,7 @@
 // The preferred writers before the router itself, which needs no peer.
 std::vector<std::string> PeersToAsk(const Client& client, std::uint32_t shard) {
   auto hosts = client.preferred_writers(shard);
-  hosts.resize(std::min(hosts.size(), kMaxPeers));
+  hosts.resize(std::min(hosts.size(), client.options.max_peers));
   hosts.erase(std::ranges::find(hosts, client.options.own_host), hosts.end());
   return hosts;
 }
--- a/src/ledger_client.h
+++ b/src/ledger_client.h
@@ -40,6 +40,8 @@
 struct LedgerClientOptions {
   std::string own_host;
   Millis peer_timeout{400};
+  // Peers asked before the router writes the shard itself.
+  std::size_t max_peers = 2;
 };
 
 // Makes the function that applies commands through peers or `local`.
--- a/src/store.h
+++ b/src/store.h
@@ -49,6 +49,15 @@
   auto operator<=>(const StoreItem&) const = default;
 };
 
+// One write of a transaction.
+struct StoreWrite {
+  std::string key;
+  std::string value;
+  // Version that the key must have; 0 means absent.
+  std::uint64_t expected = 0;
+  auto operator<=>(const StoreWrite&) const = default;
+};
+
 struct StoreRange {
   StoreStatus status = StoreStatus::kUnknown;
   std::vector<StoreItem> items;
@@ -78,6 +87,12 @@
       remove;
   std::function<void(const std::string& prefix, StoreListCallback)> list;
 
+  // Writes all of the keys or none. After kOk `revision` is the version of each
+  // key; after kVersionConflict `items` holds their present state. Empty if the
+  // store has no such call.
+  std::function<void(const std::vector<StoreWrite>& writes, StoreRangeCallback)>
+      put_all;
+
   // A cheap read of one key that may be seconds old. Empty if the store has no
   // such call.
   std::function<void(const std::string& key, StoreCallback)> peek;
--- a/tests/correctness/followers_test.cc
+++ b/tests/correctness/followers_test.cc
@@ -164,4 +164,24 @@
   CHECK(counts.back() == 1);
 }
 
+// Guards against a peer's older reading that makes a server that leaves count
+// as ready again.
+TEST_CASE("a reading older than the last one is not used") {
+  Fixture it;
+  it.items = {{"a", 1, "ok"}};
+  std::vector<std::size_t> counts;
+  ServerRegistryReader reader(
+      {.prefix = "servers/"}, it.store, it.loop.Hooks(), &DecodeEntry,
+      [&](const auto& entries) { counts.push_back(entries.size()); });
+  reader.Start();
+  it.loop.RunFor(Millis{100});
+  it.revision -= 1;
+  it.items = {{"a", 1, "ok"}, {"b", 1, "ok"}};
+  it.loop.RunFor(Millis{3000});
+  CHECK(counts == std::vector<std::size_t>{1});
+  it.revision += 2;
+  it.loop.RunFor(Millis{1000});
+  CHECK(counts.back() == 2);
+}
+
 }  // namespace crocuslatch
--- a/tests/correctness/grant_table_test.cc
+++ b/tests/correctness/grant_table_test.cc
@@ -240,4 +240,36 @@
   CHECK(ledger.Stored().budgets.at("b").billed == 5600);
 }
 
+// Guards against exchanges that peers refuse as malformed: of 1,630 writes on a
+// calm day 406 were lost since the hosts then wrote for themselves.
+TEST_CASE("an exchange for a request that the bound holds up can be encoded") {
+  LedgerFixture ledger;
+  std::vector<ShardCommand> seen;
+  const auto writer = ledger.Writer();
+  GrantTableOptions options;
+  options.shard_count = 1;
+  options.has_use_bounds = true;
+  options.spare_time = Millis{16000};
+  options.spare_requests = 4;
+  GrantTable table(
+      options, HolderId{"a", 1}, ledger.loop.Hooks(),
+      [&](std::uint32_t shard, std::vector<ShardCommand> commands,
+          Millis timeout, LedgerCallback callback) {
+        seen.insert(seen.end(), commands.begin(), commands.end());
+        writer(shard, std::move(commands), timeout, std::move(callback));
+      },
+      [](const std::string&) { return std::optional<Tokens>(100000); });
+  table.OnStamp(ledger.loop.now());
+  int reserved = 0;
+  for (int i = 0; i < 6; ++i) {
+    table.Reserve("b", 100, Millis{500}, [&](ReserveStatus it) {
+      reserved += it == ReserveStatus::kReserved ? 1 : 0;
+    });
+    ledger.loop.RunFor(Millis{300});
+  }
+  CHECK(reserved == 6);
+  CHECK(seen.size() > 6);
+  CHECK(DecodeCommands(EncodeCommands(seen)) == seen);
+}
+
 }  // namespace crocuslatch
--- a/tests/correctness/relayed_store_test.cc
+++ b/tests/correctness/relayed_store_test.cc
@@ -13,6 +13,7 @@
   std::uint64_t version = 0;
   std::string value;
   int writes = 0;
+  int readings = 0;
 };
 
 struct Host : PeerHost {
@@ -59,9 +60,37 @@
       ++shared->writes;
       answer(callback, {StoreStatus::kOk, shared->version, value});
     };
+    store.read_all = [this](const std::string&, auto callback) {
+      ++shared->readings;
+      loop.after(has_path ? Millis{1} : Millis{100}, [this, callback] {
+        StoreRange range;
+        if (has_path) {
+          range = {.status = StoreStatus::kOk,
+                   .items = {{"k", shared->version, shared->value}},
+                   .revision = shared->version};
+        }
+        callback(range);
+      });
+    };
     return store;
   }
 
+  // A port that asks the host `gatherer` first.
+  Store PortThrough(const std::string& gatherer) {
+    return relayed->port_through([gatherer] { return gatherer; },
+                                 [this](const std::string&, bool is_answered) {
+                                   (is_answered ? gathered : not_gathered) += 1;
+                                 });
+  }
+
+  StoreRange ReadThrough(const std::string& gatherer) {
+    std::optional<StoreRange> result;
+    PortThrough(gatherer).read_all("k",
+                                   [&](const StoreRange& it) { result = it; });
+    REQUIRE(RunUntil([&] { return result.has_value(); }));
+    return *result;
+  }
+
   StoreResult Put(const std::string& value, std::uint64_t expected) {
     std::optional<StoreResult> result;
     relayed->port().put("k", value, expected,
@@ -81,6 +110,9 @@
   bool has_path = true;
   bool loses_answers = false;
   int contacts = 0;
+  // Calls that a gathering peer answered, and those that it did not.
+  int gathered = 0;
+  int not_gathered = 0;
   std::unique_ptr<RelayedStore> relayed;
 };
 
@@ -126,4 +158,39 @@
   CHECK(it.a.contacts == 0);
 }
 
+// Guards against a reading of the store for each host and period.
+TEST_CASE("hosts that read at the same time share one reading") {
+  Fixture it;
+  CHECK(it.a.ReadThrough("b").items.size() == 1);
+  CHECK(it.b.ReadThrough("").items.size() == 1);
+  CHECK(it.a.ReadThrough("b").revision == 5);
+  CHECK(it.shared.readings == 1);
+  CHECK(it.a.gathered == 2);
+  CHECK(it.a.contacts == 2);
+  // A later reading sees what has changed since.
+  it.b.Put("second", 5);
+  RunFor(Millis{300});
+  CHECK(it.a.ReadThrough("b").revision == 6);
+  CHECK(it.shared.readings == 2);
+}
+
+// Guards against a host that cannot read or write because the peer that
+// gathers calls is dead or has no path to the store.
+TEST_CASE("a host does without the peer that gathers calls") {
+  Fixture it;
+  const bool is_dead = GENERATE(true, false);
+  it.b.has_path = false;
+  if (is_dead) {
+    it.addresses.erase("b");
+  }
+  std::optional<StoreResult> written;
+  it.a.PortThrough("b").put(
+      "k", "second", 5, [&](const StoreResult& result) { written = result; });
+  REQUIRE(RunUntil([&] { return written.has_value(); }));
+  CHECK(written->status == StoreStatus::kOk);
+  CHECK(it.shared.writes == 1);
+  CHECK(it.a.ReadThrough("b").status == StoreStatus::kOk);
+  CHECK(it.a.not_gathered == 2);
+}
+
 }  // namespace crocuslatch
--- /dev/null
+++ b/tests/correctness/write_batching_test.cc
@@ -0,0 +1,139 @@
+#include "app/write_batching.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+
+#include "tests/fake_loop.h"
+
+namespace crocuslatch {
+namespace {
+
+// A store that answers every transaction after 4 ms.
+struct Fixture {
+  Fixture() {
+    own.put_all = [this](const std::vector<StoreWrite>& writes,
+                         const StoreRangeCallback& callback) {
+      loop.Hooks().after(
+          Millis{4}, [this, writes, callback] { callback(Commit(writes)); });
+    };
+    port = BatchWrites(options, own, loop.Hooks());
+  }
+
+  StoreRange Commit(const std::vector<StoreWrite>& writes) {
+    ++calls;
+    most_writes = std::max(most_writes, writes.size());
+    StoreRange range{.status = status};
+    if (status != StoreStatus::kOk) {
+      return range;
+    }
+    const auto is_lost = [this](const StoreWrite& it) {
+      return versions[it.key] != it.expected;
+    };
+    if (std::ranges::any_of(writes, is_lost)) {
+      range.status = StoreStatus::kVersionConflict;
+      for (const auto& it : writes) {
+        if (versions[it.key] != 0) {
+          range.items.push_back({it.key, versions[it.key], "theirs"});
+        }
+      }
+      return range;
+    }
+    range.revision = ++revision;
+    for (const auto& it : writes) {
+      versions[it.key] = revision;
+    }
+    return range;
+  }
+
+  void Put(const std::string& key,
+           std::uint64_t expected,
+           const std::string& value = "ours") {
+    port.put(key, value, expected,
+             [this, key](const StoreResult& it) { results[key] = it; });
+  }
+
+  StoreStatus StatusOf(const std::string& key) const {
+    return results.at(key).status;
+  }
+
+  WriteBatchingOptions options;
+  FakeLoop loop;
+  Store own;
+  Store port;
+  StoreStatus status = StoreStatus::kOk;
+  std::map<std::string, std::uint64_t> versions;
+  std::uint64_t revision = 10;
+  int calls = 0;
+  std::size_t most_writes = 0;
+  std::map<std::string, StoreResult> results;
+};
+
+}  // namespace
+
+// Guards against a call for each write: with nine hosts that exchange budgets
+// at once, the platform's calls grow with the number of hosts and budgets.
+TEST_CASE("writes of a short time become one transaction") {
+  Fixture it;
+  for (int i = 0; i < 20; ++i) {
+    it.Put("k" + std::to_string(i), 0);
+    it.loop.RunFor(Millis{1});
+  }
+  it.loop.RunFor(Millis{40});
+  CHECK(it.calls == 1);
+  CHECK(it.results.size() == 20);
+  CHECK(it.results.at("k0").version == 11);
+  CHECK(it.results.at("k19").version == 11);
+}
+
+// Guards against one lost condition that makes the writes of all other hosts
+// fail, and against one that is reported as written.
+TEST_CASE("a lost condition fails only its own write") {
+  Fixture it;
+  it.versions["lost"] = 7;
+  it.Put("first", 0);
+  it.Put("lost", 3);
+  it.Put("last", 0);
+  it.loop.RunFor(Millis{50});
+  CHECK(it.StatusOf("first") == StoreStatus::kOk);
+  CHECK(it.StatusOf("last") == StoreStatus::kOk);
+  CHECK(it.StatusOf("lost") == StoreStatus::kVersionConflict);
+  CHECK(it.results.at("lost").version == 7);
+  CHECK(it.results.at("lost").value == "theirs");
+  CHECK(it.calls == 2);
+}
+
+// Guards against writes without an answer when the store does not answer.
+TEST_CASE("a transaction without an answer leaves all its writes unknown") {
+  Fixture it;
+  it.status = StoreStatus::kUnknown;
+  it.Put("first", 0);
+  it.Put("last", 0);
+  it.loop.RunFor(Millis{50});
+  CHECK(it.StatusOf("first") == StoreStatus::kUnknown);
+  CHECK(it.StatusOf("last") == StoreStatus::kUnknown);
+  CHECK(it.calls == 1);
+}
+
+// Guards against transactions that the platform refuses: two writes of a key,
+// too many keys, too many bytes.
+TEST_CASE("transactions keep to the platform's limits") {
+  Fixture it;
+  it.Put("same", 0);
+  it.Put("same", 11);
+  it.loop.RunFor(Millis{50});
+  CHECK(it.calls == 2);
+  CHECK(it.StatusOf("same") == StoreStatus::kOk);
+  for (int i = 0; i < 70; ++i) {
+    it.Put("k" + std::to_string(i), 0);
+  }
+  it.loop.RunFor(Millis{50});
+  CHECK(it.calls == 5);
+  CHECK(it.most_writes == 32);
+  it.Put("large", 0, std::string(it.options.max_bytes - 10, 'x'));
+  it.Put("small", 0, std::string(20, 'x'));
+  it.loop.RunFor(Millis{50});
+  CHECK(it.calls == 7);
+}
+
+}  // namespace crocuslatch
