Let large hosts write for small ones, and steer callers away from full links

Changes: stamps state the host's link, and writers are chosen by weighted rendezvous and waited for by their usual time; a host whose link is 40% full leaves the rotation (core/rotation); servers without a connection count as no attempt, four at most; the slack of retries is shared by the known hosts; the bound grows four times as fast from 2.6 s after the last stamp.

Ruled out: silent links between peers (they are dropped after a request without a byte).

--- a/app/forwarding.cc
+++ b/app/forwarding.cc
@@ -32,6 +32,9 @@
 // are a few milliseconds away, and a server that works on for half a second
 // after the caller has left breaks the callers' rules.
 constexpr Millis kWithdrawWait{150};
+// Servers that one attempt of a caller may be tried at without a connection. A
+// sixth of the servers crash at once, so that four in a row are rare.
+constexpr int kMaxUnsent = 4;
 // A dispatch with less time than this left is not worth its load.
 constexpr Millis kLeastTimeLeft{5};
 // Time limit of a caller that states none.
@@ -395,7 +398,7 @@
     }
     if (end == HttpEnd::kNotSent) {
       EndDispatch(DispatchResult::kUnreachable, end);
-      Retry(false, "server_unreachable");
+      RetryUnsent();
       return;
     }
     const bool is_server_answer = is_whole && !IsSuccess(status_) && is_sealed_;
@@ -418,10 +421,22 @@
 
   bool CanRetry(bool may_have_run) const {
     return (!may_have_run || can_repeat_) &&
-           attempts_ < std::max(1, route_->max_attempts) &&
+           attempts_ - unsent_ < std::max(1, route_->max_attempts) &&
            deadline_ - context_->loop.now() >= kLeastTimeLeft;
   }
 
+  // No server has seen the request, so this is no attempt in the sense of the
+  // route and draws on no retry budget.
+  void RetryUnsent() {
+    ++unsent_;
+    if (unsent_ < kMaxUnsent) {
+      Dispatch();
+      return;
+    }
+    FailDispatch("server_unreachable",
+                 "the backend servers could not be connected to");
+  }
+
   void Retry(bool may_have_run, std::string_view reason) {
     const bool allowed =
         CanRetry(may_have_run) &&
@@ -628,6 +643,8 @@
 
   std::set<std::string> tried_;
   int attempts_ = 0;
+  // Of these, the ones without a connection to the server.
+  int unsent_ = 0;
   // A backend server may have run the request.
   bool ran_ = false;
   // A backend server has begun to answer other than by a refusal.
--- a/app/front.cc
+++ b/app/front.cc
@@ -18,6 +18,7 @@
 #include "app/token_loans.h"
 #include "app/write_batching.h"
 #include "core/ledger_writers.h"
+#include "core/rotation.h"
 #include "io/http_client.h"
 #include "io/http_front.h"
 #include "platform/backend_entry_codec.h"
@@ -38,6 +39,12 @@
 // new connections may come this long after a planned stop begins.
 constexpr Millis kOutOfRotation{2500};
 constexpr Millis kActivityPeriod{10000};
+// Part of the fleet's limit on repeats that is used, since arrivals at servers
+// and requests are counted at other moments, and hosts come and go.
+constexpr double kRetryShare = 0.8;
+// Time between two looks at how many hosts share the limit.
+constexpr Millis kRetryShareDelay{1000};
+constexpr double kBytesPerMegabit = 1e6 / 8;
 // Silence of the store after which this host counts as cut off from it. The
 // registry is read every 0.9 s, and a slow store takes some 0.3 s.
 constexpr Millis kCutOffTime{1500};
@@ -50,8 +57,6 @@
 // 256 bits.
 constexpr int kSecretWords = 4;
 constexpr Millis kSecretRetry{200};
-// Longest wait for the host that writes a shard: ten times a usual answer.
-constexpr Millis kWriterTimeout{250};
 // Until both sides are authenticated; hosts are a millisecond apart.
 constexpr Millis kPeerConnectTimeout{300};
 // Ledger shards. Callers of an account stay with a few hosts, so a shard with
@@ -119,10 +124,11 @@
         relayed_store({}, MakeOwnPath(), loop, MakeRelayHooks()),
         store(relayed_store.port()),
         gathered_store(MakeGatheredStore()),
-        writers({}, settings.host_name),
+        writers({}, {settings.host_name, OwnLink()}),
         placement({}, settings.failure_domain),
         retries({.window = settings.retry_window,
-                 .ratio = settings.retry_ratio * 0.85}),
+                 .ratio = settings.retry_ratio * kRetryShare}),
+        rotation({}, settings.link_mbps * kBytesPerMegabit),
         holder(MakeHolderId(settings.host_name)),
         started_at(ReadClocks()) {}
 
@@ -137,6 +143,7 @@
   LedgerWriters writers;
   Placement placement;
   RetryBudget retries;
+  Rotation rotation;
   const HolderId holder;
   const HostStamp started_at;
   std::unique_ptr<DesiredStateFollower> follower;
@@ -172,10 +179,19 @@
         loop);
   }
 
+  std::int64_t OwnLink() const {
+    return static_cast<std::int64_t>(settings.link_mbps);
+  }
+
   // Hosts to ask for writing the shard, best first.
   std::vector<std::string> WritersOf(std::uint32_t shard) const {
-    return peers ? writers.Rank(shard, hosts->Others(), loop.now())
-                 : std::vector<std::string>{settings.host_name};
+    std::vector<WriterCandidate> candidates;
+    if (peers) {
+      for (const auto& it : hosts->Others()) {
+        candidates.push_back({it, hosts->LinkOf(it)});
+      }
+    }
+    return writers.Rank(shard, candidates, loop.now());
   }
 
   void SendToWriter(const std::string& host,
@@ -183,20 +199,22 @@
                     std::vector<ShardCommand> commands,
                     Millis timeout,
                     const LedgerCallback& callback) {
-    peers->SendCommands(
-        host, shard, std::move(commands), timeout,
-        [this, host, callback](LedgerStatus status, const auto& replies) {
-          writers.OnAnswer(host, status == LedgerStatus::kDurable, loop.now());
-          callback(status, replies);
-        });
+    peers->SendCommands(host, shard, std::move(commands), timeout,
+                        [this, host, callback, begun = loop.now()](
+                            LedgerStatus status, const auto& replies) {
+                          const Millis now = loop.now();
+                          writers.OnAnswer(host,
+                                           status == LedgerStatus::kDurable,
+                                           now - begun, now);
+                          callback(status, replies);
+                        });
   }
 
   // Writes the own shards and those that peers ask for.
   ApplyToShard MakeLedger() {
     return MakeLedgerClient(
         {.own_host = settings.host_name,
-         .peer_timeout = kWriterTimeout,
-         .max_peers = 1},
+         .choose_timeout = [this] { return writers.Timeout(); }},
         loop, [this](std::uint32_t shard) { return WritersOf(shard); },
         [this](const std::string& host, std::uint32_t shard, auto commands,
                Millis timeout, const LedgerCallback& callback) {
@@ -214,8 +232,8 @@
           const auto host = WritersOf(group).front();
           return host == settings.host_name ? std::string() : host;
         },
-        [this](const std::string& host, bool is_answered) {
-          writers.OnAnswer(host, is_answered, loop.now());
+        [this](const std::string& host, bool is_answered, Millis took) {
+          writers.OnAnswer(host, is_answered, took, loop.now());
         });
   }
 
@@ -245,6 +263,7 @@
     callers = std::make_unique<HttpFront>(
         ListenOptions(settings.caller_address),
         [this](const IncomingRequest& request, HttpReply reply) {
+          rotation.OnRequest(request.body.size(), loop.now());
           ForwardRequest(context, request, std::move(reply));
         });
     callers->SetLimits(MakeLimits(CallerLimits{}));
@@ -270,6 +289,21 @@
     hosts->Start();
     ReadSecret();
     LogActivityLater();
+    ShareRetriesLater();
+  }
+
+  // The fleet's allowance of repeats is spread over the hosts that are known.
+  void ShareRetriesLater() {
+    const auto others = hosts->Others().size();
+    if (others > 0) {
+      retries.SetSlack(settings.retry_slack * kRetryShare /
+                       static_cast<double>(others + 1));
+    }
+    loop.after(kRetryShareDelay, [self = weak_from_this()] {
+      if (const auto core = self.lock()) {
+        core->ShareRetriesLater();
+      }
+    });
   }
 
   void LogActivityLater() {
@@ -335,6 +369,7 @@
     return {.incarnation = holder.incarnation,
             .boot_time = BootNow(),
             .wall_time = WallNow(),
+            .link_mbps = OwnLink(),
             .peer_address = settings.peer_address};
   }
 
@@ -501,7 +536,7 @@
   // and only they can be granted tokens and learn of changes.
   bool IsCutOff() const { return loop.now() - store_answered_at > kCutOffTime; }
 
-  std::string_view NotReadyReason() const {
+  std::string_view NotReadyReason() {
     if (is_stopping) {
       return "stopping";
     }
@@ -511,7 +546,10 @@
     if (!registry->last_reading()) {
       return "no_servers_known";
     }
-    return IsCutOff() ? "store_unreachable" : "";
+    if (IsCutOff()) {
+      return "store_unreachable";
+    }
+    return rotation.IsLinkFull(loop.now()) ? "link_full" : "";
   }
 
   // Also moves callers to other hosts where this one is of little use.
@@ -524,7 +562,9 @@
     LogLine(LogEvent::kReadinessChanged)
         .Add("ready", reason.empty())
         .Add("reason", reason)
-        .Add("store_answered_ms_ago", loop.now() - store_answered_at);
+        .Add("store_answered_ms_ago", loop.now() - store_answered_at)
+        .Add("link_bytes_per_s",
+             static_cast<std::int64_t>(rotation.Rate(loop.now())));
     if (!is_stopping) {
       callers->KeepConnections(reason.empty());
     }
--- a/app/front_settings.cc
+++ b/app/front_settings.cc
@@ -24,6 +24,9 @@
   }
 }
 
+// 1 Tbit/s; only catches mistakes.
+constexpr double kMaxLinkMbps = 1e6;
+
 void ReadSeconds(TomlReader& reader, std::string_view key, Millis& out) {
   double seconds = static_cast<double>(out.count()) / 1000;
   reader.ReadNumber(key, seconds, 0, kMaxSeconds);
@@ -49,6 +52,10 @@
     TomlReader reader(it, "[store]", problems);
     ReadAddress(reader, "address", out.store_address);
   });
+  top.WithTable("limits", Need::kOptional, [&](const toml::table& it) {
+    TomlReader reader(it, "[limits]", problems);
+    reader.ReadNumber("link_mbps", out.link_mbps, 0, kMaxLinkMbps);
+  });
   top.WithTable("bounds", Need::kOptional, [&](const toml::table& it) {
     TomlReader reader(it, "[bounds]", problems);
     ReadSeconds(reader, "grace_s", out.grace);
--- a/app/front_settings.h
+++ b/app/front_settings.h
@@ -30,6 +30,8 @@
   double retry_ratio = 0.2;
   Millis retry_window{10000};
   double retry_slack = 0;
+  // Of the host's own link; 0 if it is not known.
+  double link_mbps = 0;
   bool operator==(const FrontSettings&) const = default;
 };
 
--- a/app/host_directory.cc
+++ b/app/host_directory.cc
@@ -11,6 +11,7 @@
 struct HostDirectory::Core : std::enable_shared_from_this<HostDirectory::Core> {
   struct Host {
     std::string address;
+    std::int64_t link_mbps = 0;
     std::uint64_t version = 0;
     Millis changed_at{0};
   };
@@ -59,7 +60,7 @@
     }
     auto& host = hosts[name];
     if (host.version != item.version) {
-      host = {stamp->peer_address, item.version, loop.now()};
+      host = {stamp->peer_address, stamp->link_mbps, item.version, loop.now()};
     }
   }
 };
@@ -89,6 +90,11 @@
   return names;
 }
 
+std::int64_t HostDirectory::LinkOf(const std::string& host) const {
+  const auto it = core_->hosts.find(host);
+  return it == core_->hosts.end() ? 0 : it->second.link_mbps;
+}
+
 std::string HostDirectory::AddressOf(const std::string& host) const {
   const auto it = core_->hosts.find(host);
   return it == core_->hosts.end() ? std::string() : it->second.address;
--- a/app/host_directory.h
+++ b/app/host_directory.h
@@ -1,6 +1,7 @@
 #ifndef APP_HOST_DIRECTORY_H_
 #define APP_HOST_DIRECTORY_H_
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -33,6 +34,8 @@
   // Hosts that were stamped lately, without the own one. While the store is
   // away these are the ones of the last reading.
   std::vector<std::string> Others() const;
+  // Megabits a second of the host's link; 0 if unknown.
+  std::int64_t LinkOf(const std::string& host) const;
   // Where the host listens for its peers; empty if unknown.
   std::string AddressOf(const std::string& host) const;
 
--- a/app/relayed_store.cc
+++ b/app/relayed_store.cc
@@ -217,14 +217,14 @@
   }
 
   // Asks the host that gathers calls, and takes the usual way if it fails.
-  void StartThrough(
-      const std::string& host,
-      const Call& call,
-      OnAnswer on_answer,
-      const std::function<void(const std::string&, bool)>& on_host) {
+  void StartThrough(const std::string& host,
+                    const Call& call,
+                    OnAnswer on_answer,
+                    const OnGathererAnswer& on_host) {
+    const Millis begun = loop.now();
     network->Request(
         host, PackCall(call), options.gatherer_timeout,
-        [self = weak_from_this(), host, call, on_host,
+        [self = weak_from_this(), host, call, begun, on_host,
          on_answer = std::move(on_answer)](const wire::Envelope* message) {
           const auto core = self.lock();
           if (!core) {
@@ -233,7 +233,7 @@
           const auto answer = ReadAnswer(message);
           const bool is_answered =
               answer && answer->status != StoreStatus::kUnknown;
-          on_host(host, is_answered);
+          on_host(host, is_answered, core->loop.now() - begun);
           if (!is_answered) {
             core->Start(call, on_answer);
             return;
@@ -469,9 +469,8 @@
   return port;
 }
 
-Store RelayedStore::port_through(
-    std::function<std::string()> gatherer,
-    std::function<void(const std::string& host, bool)> on_answer) {
+Store RelayedStore::port_through(std::function<std::string()> gatherer,
+                                 OnGathererAnswer on_answer) {
   const auto host_to_ask = [core = core_, gatherer = std::move(gatherer)] {
     return core->network == nullptr ? std::string() : gatherer();
   };
--- a/app/relayed_store.h
+++ b/app/relayed_store.h
@@ -60,15 +60,18 @@
 
   void SetNetwork(PeerNetwork* network);
 
+  using OnGathererAnswer =
+      std::function<void(const std::string& host, bool, Millis took)>;
+
   // The port to use instead of the own path.
   Store port();
 
   // The same port, but a put or a reading of a prefix first goes to the peer
   // that `gatherer` names, which gathers the calls of many hosts; an empty name
-  // means the own path. `on_answer` is told whether the peer answered.
-  Store port_through(
-      std::function<std::string()> gatherer,
-      std::function<void(const std::string& host, bool)> on_answer);
+  // means the own path. `on_answer` is told whether the peer answered and the
+  // time that it took.
+  Store port_through(std::function<std::string()> gatherer,
+                     OnGathererAnswer on_answer);
 
   // Makes a peer's call by the own path; false if the message is none.
   bool OnMessage(const wire::Envelope& message,
--- a/core/host_stamp.cc
+++ b/core/host_stamp.cc
@@ -9,13 +9,13 @@
 namespace crocuslatch {
 
 std::string EncodeHostStamp(const HostStamp& stamp) {
-  return fmt::format("1 {:016x} {} {} {}", stamp.incarnation,
+  return fmt::format("2 {:016x} {} {} {} {}", stamp.incarnation,
                      stamp.boot_time.count(), stamp.wall_time.count(),
-                     stamp.peer_address);
+                     stamp.link_mbps, stamp.peer_address);
 }
 
 std::optional<HostStamp> DecodeHostStamp(std::string_view text) {
-  constexpr std::string_view kFormat = "1 ";
+  constexpr std::string_view kFormat = "2 ";
   if (!text.starts_with(kFormat)) {
     return std::nullopt;
   }
@@ -23,8 +23,8 @@
   const auto* const end = text.data() + text.size();
   HostStamp stamp;
   auto result = std::from_chars(at, end, stamp.incarnation, 16);
-  std::array<std::int64_t, 2> times{};
-  for (auto& it : times) {
+  std::array<std::int64_t, 3> numbers{};
+  for (auto& it : numbers) {
     if (result.ec != std::errc() || result.ptr == end || *result.ptr != ' ') {
       return std::nullopt;
     }
@@ -33,8 +33,9 @@
   if (result.ec != std::errc() || result.ptr == end || *result.ptr != ' ') {
     return std::nullopt;
   }
-  stamp.boot_time = Millis{times[0]};
-  stamp.wall_time = Millis{times[1]};
+  stamp.boot_time = Millis{numbers[0]};
+  stamp.wall_time = Millis{numbers[1]};
+  stamp.link_mbps = numbers[2];
   stamp.peer_address = std::string(result.ptr + 1, end);
   return stamp;
 }
--- a/core/host_stamp.h
+++ b/core/host_stamp.h
@@ -27,6 +27,9 @@
   Millis boot_time{0};
   // Time of day since 1970. Can be set forward and backward.
   Millis wall_time{0};
+  // Of the host's own link, 0 if it is not known. Peers prefer a host with much
+  // of it for work that they share.
+  std::int64_t link_mbps = 0;
   // "<IP number>:<port>" where the process listens for its peers.
   std::string peer_address;
   bool operator==(const HostStamp&) const = default;
--- a/core/ledger_writers.cc
+++ b/core/ledger_writers.cc
@@ -1,42 +1,71 @@
 #include "core/ledger_writers.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace crocuslatch {
+namespace {
 
-LedgerWriters::LedgerWriters(LedgerWritersOptions options, std::string own_host)
-    : options_(options), own_host_(std::move(own_host)) {}
+// Weight of a host that does not state its link.
+constexpr double kUnknownLink = 100;
+
+// Weighted rendezvous hashing; the lowest rank is the best. The weight is the
+// square of the link, so that six links of 200 Mbit/s are chosen before sixty
+// of 10.
+double RankOf(const WriterCandidate& candidate, std::uint64_t group) {
+  constexpr double kHashRange = 18446744073709551616.0;
+  const double point =
+      (static_cast<double>(StableHash(candidate.host, group)) + 1) / kHashRange;
+  const double link = candidate.link_mbps > 0
+                          ? static_cast<double>(candidate.link_mbps)
+                          : kUnknownLink;
+  return -std::log(std::min(point, 1.0)) / (link * link);
+}
+
+}  // namespace
+
+LedgerWriters::LedgerWriters(LedgerWritersOptions options, WriterCandidate own)
+    : options_(options), own_(std::move(own)) {}
 
 std::vector<std::string> LedgerWriters::Rank(
     std::uint32_t shard,
-    const std::vector<std::string>& others,
+    const std::vector<WriterCandidate>& others,
     Millis now) const {
   const std::size_t groups =
       1 + others.size() / std::max<std::size_t>(1, options_.hosts_per_writer);
   const std::uint64_t group = shard % groups;
-  std::vector<std::pair<std::uint64_t, std::string>> ranked;
-  ranked.emplace_back(StableHash(own_host_, group), own_host_);
+  std::vector<std::pair<double, std::string>> ranked;
+  ranked.emplace_back(RankOf(own_, group), own_.host);
   for (const auto& it : others) {
-    const auto found = avoided_.find(it);
+    const auto found = avoided_.find(it.host);
     if (found == avoided_.end() || now >= found->second.until) {
-      ranked.emplace_back(StableHash(it, group), it);
+      ranked.emplace_back(RankOf(it, group), it.host);
     }
   }
-  std::ranges::sort(ranked, std::greater{});
+  std::ranges::sort(ranked);
   std::vector<std::string> hosts;
   for (auto& [rank, host] : ranked) {
     hosts.push_back(std::move(host));
-    if (hosts.back() == own_host_) {
+    if (hosts.back() == own_.host) {
       break;
     }
   }
   return hosts;
 }
 
+Millis LedgerWriters::Timeout() const {
+  const Millis wanted{
+      static_cast<Millis::rep>(options_.timeout_factor * usual_ms_)};
+  return std::clamp(wanted, options_.least_timeout, options_.longest_timeout);
+}
+
 void LedgerWriters::OnAnswer(const std::string& host,
                              bool is_answered,
+                             Millis took,
                              Millis now) {
+  constexpr double kWeight = 0.2;
+  usual_ms_ += kWeight * (static_cast<double>(took.count()) - usual_ms_);
   if (is_answered) {
     avoided_.erase(host);
     return;
--- a/core/ledger_writers.h
+++ b/core/ledger_writers.h
@@ -16,6 +16,9 @@
 // hosts and would lose against one another; one writer for a group of shards
 // sends the changes of all hosts in one transaction.
 //
+// Hosts differ in their links by a factor of twenty, and a writer answers no
+// faster than its link lets it, so that large hosts write for small ones.
+//
 // Hosts need not agree: every write has a condition, so that two writers of
 // one shard only cost writes.
 
@@ -31,19 +34,38 @@
   // lost writes in 20 s.
   Millis first_avoidance{1000};
   Millis longest_avoidance{2000};
+  // A writer is waited for this multiple of a usual answer, within these
+  // bounds: a usual answer takes 35 ms, and 300 ms while the store is slow or
+  // the own link is full.
+  double timeout_factor = 4;
+  Millis least_timeout{250};
+  Millis longest_timeout{800};
+};
+
+struct WriterCandidate {
+  std::string host;
+  // 0 if it is not known.
+  std::int64_t link_mbps = 0;
+  auto operator<=>(const WriterCandidate&) const = default;
 };
 
 class LedgerWriters {
  public:
-  LedgerWriters(LedgerWritersOptions options, std::string own_host);
+  LedgerWriters(LedgerWritersOptions options, WriterCandidate own);
 
   // Hosts to ask for writing the shard, best first, ending with the own host
   // if others are better. `others` are the live hosts without the own one.
   std::vector<std::string> Rank(std::uint32_t shard,
-                                const std::vector<std::string>& others,
+                                const std::vector<WriterCandidate>& others,
                                 Millis now) const;
 
-  void OnAnswer(const std::string& host, bool is_answered, Millis now);
+  // A writer answered, or did not in time, after `took`.
+  void OnAnswer(const std::string& host,
+                bool is_answered,
+                Millis took,
+                Millis now);
+  // How long to wait for a writer.
+  Millis Timeout() const;
 
  private:
   struct Avoidance {
@@ -52,7 +74,9 @@
   };
 
   const LedgerWritersOptions options_;
-  const std::string own_host_;
+  const WriterCandidate own_;
+  // Mean time of an answer.
+  double usual_ms_ = 0;
   std::map<std::string, Avoidance, std::less<>> avoided_;
 };
 
--- a/core/retry_budget.cc
+++ b/core/retry_budget.cc
@@ -2,7 +2,8 @@
 
 namespace crocuslatch {
 
-RetryBudget::RetryBudget(RetryBudgetOptions options) : options_(options) {}
+RetryBudget::RetryBudget(RetryBudgetOptions options)
+    : options_(options), slack_(options.slack) {}
 
 RetryBudget::Window& RetryBudget::Fresh(const std::string& service,
                                         Millis now) {
@@ -22,8 +23,7 @@
 bool RetryBudget::Take(const std::string& service, Millis now) {
   Window& window = Fresh(service, now);
   const double allowed =
-      options_.slack +
-      options_.ratio * static_cast<double>(window.requests.size());
+      slack_ + options_.ratio * static_cast<double>(window.requests.size());
   if (static_cast<double>(window.repeats.size()) + 1 > allowed) {
     return false;
   }
--- a/core/retry_budget.h
+++ b/core/retry_budget.h
@@ -11,8 +11,9 @@
 //
 // Load pattern: a part of the servers fails, and every router wants to send
 // every request again. All routers together may add a fixed part to the
-// requests of any window. Each router keeps to that part of its own requests,
-// so the sum holds without messages between them.
+// requests of any window, and a fixed number besides. Each router keeps to that
+// part of its own requests and to an equal share of the number, so the sum
+// holds without messages between them.
 
 namespace crocuslatch {
 
@@ -22,14 +23,17 @@
   // 0.2, since arrivals at servers and requests are counted at other moments.
   double ratio = 0.17;
   // Repeats allowed beside, so that a router with little traffic may repeat
-  // at all.
-  double slack = 2;
+  // at all; see SetSlack.
+  double slack = 1;
 };
 
 class RetryBudget {
  public:
   explicit RetryBudget(RetryBudgetOptions options);
 
+  // Own share of the repeats that the fleet may make beside.
+  void SetSlack(double slack) { slack_ = slack; }
+
   void CountRequest(const std::string& service, Millis now);
   // Takes one repeat out of the budget; false if there is none.
   bool Take(const std::string& service, Millis now);
@@ -43,6 +47,7 @@
   Window& Fresh(const std::string& service, Millis now);
 
   const RetryBudgetOptions options_;
+  double slack_;
   std::map<std::string, Window> windows_;
 };
 
--- /dev/null
+++ b/core/rotation.cc
@@ -0,0 +1,39 @@
+#include "core/rotation.h"
+
+namespace crocuslatch {
+
+Rotation::Rotation(RotationOptions options, double link_bytes_per_s)
+    : options_(options), link_(link_bytes_per_s) {}
+
+void Rotation::OnRequest(std::size_t bytes, Millis now) {
+  arrivals_.push_back({now, bytes});
+  sum_ += bytes;
+  Rate(now);
+}
+
+double Rotation::Rate(Millis now) {
+  constexpr double kMillisPerSecond = 1000;
+  while (!arrivals_.empty() && arrivals_.front().at + options_.window <= now) {
+    sum_ -= arrivals_.front().bytes;
+    arrivals_.pop_front();
+  }
+  return static_cast<double>(sum_) * kMillisPerSecond /
+         static_cast<double>(options_.window.count());
+}
+
+bool Rotation::IsLinkFull(Millis now) {
+  if (link_ <= 0) {
+    return false;
+  }
+  const double part = Rate(now) / link_;
+  const bool is_full = is_full_ ? part >= options_.return_part ||
+                                      now < changed_at_ + options_.least_time
+                                : part > options_.leave_part;
+  if (is_full != is_full_) {
+    is_full_ = is_full;
+    changed_at_ = now;
+  }
+  return is_full_;
+}
+
+}  // namespace crocuslatch
--- a/src/grant_table.cc
+++ b/src/grant_table.cc
@@ -612,7 +612,6 @@
 // zero if there is no bound, the reserve is too small, or it takes too long.
 Millis GrantTable::Core::TimeUntilCovered(const Budget& budget,
                                           Tokens amount) const {
-  constexpr Tokens kMillisPerSecond = 1000;
   if (!IsBounded() || amount > budget.free) {
     return Millis{0};
   }
@@ -626,13 +625,12 @@
   if (pace <= 0) {
     return Millis{0};
   }
-  Tokens missing = UsedSince(budget) + amount - armed;
+  Tokens needed = UsedSince(budget) + amount;
   for (const auto& it : budget.waiters) {
-    missing += it.amount;
+    needed += it.amount;
   }
-  // Rounded up.
-  const Millis growth{missing * kMillisPerSecond / pace + 1};
-  const Millis wait = *stamped_at_ + kStampGrace + growth - loop_.now();
+  const Millis wait =
+      *stamped_at_ + TimeOfBound(armed, pace, needed) - loop_.now();
   return wait <= options_.longest_cover_wait ? std::max(Millis{0}, wait)
                                              : Millis{0};
 }
@@ -748,8 +746,7 @@
   }
   if (exchange.want > 0 && !budget.waiters.empty()) {
     // What is kept may cover the request, and only the bound holds it up.
-    exchange.least =
-        std::max<Tokens>(0, budget.waiters.front().amount - kept);
+    exchange.least = std::max<Tokens>(0, budget.waiters.front().amount - kept);
   }
   exchange.budget = name;
   exchange.holder = holder_;
--- a/src/ledger_client.cc
+++ b/src/ledger_client.cc
@@ -78,10 +78,13 @@
         });
     return;
   }
+  const auto& options = client->options;
+  const Millis timeout =
+      options.choose_timeout ? options.choose_timeout() : options.peer_timeout;
   const std::string host = call->peers.front();
   call->peers.erase(call->peers.begin());
   client->send_to_peer(host, call->shard, call->commands,
-                       std::min(left, client->options.peer_timeout),
+                       std::min(left, timeout),
                        [client, call](LedgerStatus status,
                                       const std::vector<ShardReply>& replies) {
                          if (status == LedgerStatus::kDurable) {
--- a/src/ledger_client.h
+++ b/src/ledger_client.h
@@ -42,6 +42,8 @@
   Millis peer_timeout{400};
   // Peers asked before the router writes the shard itself.
   std::size_t max_peers = 2;
+  // If set, gives the present wait for one peer instead of `peer_timeout`.
+  std::function<Millis()> choose_timeout;
 };
 
 // Makes the function that applies commands through peers or `local`.
--- a/src/shard_state.cc
+++ b/src/shard_state.cc
@@ -8,6 +8,8 @@
 namespace crocuslatch {
 namespace {
 
+constexpr Tokens kMillisPerSecond = 1000;
+
 // Low-water mark of a budget. Above it a grant takes at most half of what is
 // left, so that one holder does not strand the rest; below it, halves would
 // be smaller than one request of a model's default output limit.
@@ -369,11 +371,23 @@
 }  // namespace
 
 Tokens UseBound(Tokens armed, Tokens pace, Millis since_stamp) {
-  constexpr Tokens kMillisPerSecond = 1000;
-  return since_stamp < kStampGrace
-             ? armed
-             : armed + pace * (since_stamp - kStampGrace).count() /
-                           kMillisPerSecond;
+  const Millis slow =
+      std::clamp(since_stamp - kStampGrace, Millis{0}, kCutTime - kStampGrace);
+  const Millis fast = std::max(since_stamp - kCutTime, Millis{0});
+  return armed +
+         pace * (slow + fast * kCutPaceFactor).count() / kMillisPerSecond;
+}
+
+Millis TimeOfBound(Tokens armed, Tokens pace, Tokens amount) {
+  if (amount <= armed) {
+    return Millis{0};
+  }
+  // Rounded up.
+  const Millis growth{(amount - armed) * kMillisPerSecond / pace + 1};
+  constexpr Millis kSlow = kCutTime - kStampGrace;
+  return growth <= kSlow
+             ? kStampGrace + growth
+             : kCutTime + (growth - kSlow) / kCutPaceFactor + Millis{1};
 }
 
 bool MayClaimLater(const ShardReply& reply, std::uint64_t attempt) {
--- a/src/shard_state.h
+++ b/src/shard_state.h
@@ -232,12 +232,24 @@
 // s, so nothing but what was armed is lost with it.
 inline constexpr Millis kStampGrace{1300};
 
+// From this time on after its last stamp a holder is very likely cut off from
+// the store: hosts that lose their power are back after 1.9 to 2.6 s.
+inline constexpr Millis kCutTime{2600};
+// Growth of the bound from then on, as a multiple of the pace. Cut holders make
+// up for what the bound held back before and serve bursts; what they could have
+// used is lost only if they die in the cut, too.
+inline constexpr Tokens kCutPaceFactor = 4;
+
 // Most that a holder may have used beyond what is settled, `since_stamp` after
-// its last stamp: `armed` and `pace` for each second beyond the grace. No step
-// at the end of the grace, since hosts that lose their power are back after 1.9
-// to 2.6 s, and 2 s of pace of every host were a tenth of a day's use.
+// its last stamp: `armed`, `pace` for each second beyond the grace, and more
+// beyond kCutTime. No steps, since a step was a tenth of a day's use when all
+// hosts lost their power.
 Tokens UseBound(Tokens armed, Tokens pace, Millis since_stamp);
 
+// First time after the stamp at which the bound reaches `amount`. `pace` is
+// above 0.
+Millis TimeOfBound(Tokens armed, Tokens pace, Tokens amount);
+
 // limit - billed - open charges - outstanding grants; never negative.
 Tokens Available(const BudgetRecord& budget);
 
--- a/tests/correctness/forwarding_test.cc
+++ b/tests/correctness/forwarding_test.cc
@@ -304,4 +304,56 @@
   CHECK(has_left);
 }
 
+// Replays servers that crash while their entries stay: requests of routes with
+// one attempt were refused, 74 of them on one day, though no server had seen
+// them.
+TEST_CASE("a request that no server has seen goes to another one") {
+  Fixture it;
+  auto state = it.table->state();
+  state.routes[1].max_attempts = 1;
+  it.table = std::make_shared<RoutingTable>(state);
+  RetryBudget none({.ratio = 0, .slack = 0});
+  it.context->retries = &none;
+  // Nothing listens at port 1.
+  std::vector<BackendEntry> entries;
+  for (const auto* id : {"i-1", "i-2", "i-3"}) {
+    entries.push_back({.id = id,
+                       .service = "s",
+                       .address = "127.0.0.1:1",
+                       .failure_domain = "a",
+                       .slots = 8});
+  }
+  entries.push_back({.id = "i-4",
+                     .service = "s",
+                     .address = fmt::format("127.0.0.1:{}", it.server.port()),
+                     .failure_domain = "far",
+                     .slots = 8});
+  it.placement.SetServers(entries, Millis{0});
+  CHECK(it.Ask(it.Request("POST", "/order/1")).status == 200);
+  CHECK(it.arrived.size() == 1);
+}
+
+// Guards against a request that tries one dead server after the other for all
+// of its time.
+TEST_CASE("a request without a reachable server is refused as not run") {
+  Fixture it;
+  std::vector<BackendEntry> entries;
+  for (int i = 0; i < 12; ++i) {
+    entries.push_back({.id = fmt::format("i-{}", i),
+                       .service = "s",
+                       .address = "127.0.0.1:1",
+                       .failure_domain = "a",
+                       .slots = 8});
+  }
+  it.placement.SetServers(entries, Millis{0});
+  const auto answer = it.Ask(it.Request("POST", "/order/1"));
+  CHECK(answer.status == 503);
+  CHECK_FALSE(FindHeader(answer.headers, "Retry-After").empty());
+  int tried = 0;
+  for (const auto& view : it.placement.View(MakeQtEventLoop().now())) {
+    tried += view.is_avoided ? 1 : 0;
+  }
+  CHECK(tried == 4);
+}
+
 }  // namespace crocuslatch
--- a/tests/correctness/retry_budget_test.cc
+++ b/tests/correctness/retry_budget_test.cc
@@ -43,4 +43,19 @@
   CHECK_FALSE(budget.Take("a", Millis{1500}));
 }
 
+// Guards against hosts that together repeat more than the fleet may beside its
+// ratio, and against a slack that nobody uses.
+TEST_CASE("the slack is shared between the hosts") {
+  RetryBudget budget({.window = Millis{1000}, .ratio = 0, .slack = 0});
+  CHECK_FALSE(budget.Take("s", Millis{0}));
+  constexpr double kFleetSlack = 58;
+  budget.SetSlack(kFleetSlack / 9);
+  int n = 0;
+  while (budget.Take("s", Millis{10})) {
+    ++n;
+  }
+  CHECK(n == 6);
+  CHECK(budget.Take("s", Millis{1011}));
+}
+
 }  // namespace crocuslatch
