--- a/src/shard_state.h
+++ b/src/shard_state.h
@@ -238,7 +238,7 @@
 // Growth of the bound from then on, as a multiple of the pace. Cut holders make
 // up for what the bound held back before and serve bursts; what they could have
 // used is lost only if they die in the cut, too.
-inline constexpr Tokens kCutPaceFactor = 4;
+inline constexpr Tokens kCutPaceFactor = 2;
 
 // Most that a holder may have used beyond what is settled, `since_stamp` after
 // its last stamp: `armed`, `pace` for each second beyond the grace, and more
