Charge nothing for failures of servers, and count reservations as use at once

Cause: an answer of a server that was a failure (500) charged its prompt. Change: only a success that has begun charges. Rates of use count a reservation when it is made, not when its answer ends.

--- a/app/forwarding.cc
+++ b/app/forwarding.cc
@@ -329,7 +329,7 @@
     status_ = status;
     is_sealed_ = response.has_seal;
     not_executed_ = response.not_executed;
-    has_begun_ = has_begun_ || !not_executed_;
+    has_begun_ = has_begun_ || IsSuccess(status);
     if (response.load) {
       context_->placement->OnLoad(server_id_, response.load->running,
                                   response.load->waiting, now);
--- a/src/grant_table.cc
+++ b/src/grant_table.cc
@@ -120,7 +120,8 @@
   for (const auto& it : budget.uses) {
     sum += it.at >= since ? it.amount : 0;
   }
-  return sum;
+  // Corrections of requests from before may outweigh what came since.
+  return std::max<Tokens>(0, sum);
 }
 
 void AddUse(Budget& budget, Tokens amount, Millis now, Millis window) {
@@ -148,7 +149,10 @@
   budget.waiters.clear();
 }
 
-void ReserveNow(Budget& budget, Tokens amount, Millis now) {
+// A reservation counts as use at once, and what it leaves is taken off when it
+// ends: answers last for seconds, by which rates of use would come late.
+void ReserveNow(Budget& budget, Tokens amount, Millis now, Millis window) {
+  AddUse(budget, amount, now, window);
   const auto size = static_cast<double>(amount);
   budget.mean_request += budget.mean_request == 0
                              ? size
@@ -336,7 +340,7 @@
         !CanReserve(it->second, amount)) {
       return false;
     }
-    ReserveNow(it->second, amount, loop_.now());
+    ReserveNow(it->second, amount, loop_.now(), options_.use_window);
     is_low = !it->second.in_flight && IsLow(it->second);
   }
   if (is_low) {
@@ -407,7 +411,7 @@
   if (!CanReserve(it->second, amount) || it->second.free - amount < keep) {
     return false;
   }
-  ReserveNow(it->second, amount, loop_.now());
+  ReserveNow(it->second, amount, loop_.now(), options_.use_window);
   return true;
 }
 
@@ -438,8 +442,8 @@
           std::min(budget.settle_at,
                    now + (IsTight(budget) ? options_.tight_settle_period
                                           : options_.settle_period));
-      AddUse(budget, amount, now, options_.use_window);
     }
+    AddUse(budget, amount - reserved, now, options_.use_window);
   }
   PumpSoon(name);
 }
@@ -559,7 +563,7 @@
                                     Tasks& tasks) const {
   auto& waiters = budget.waiters;
   while (!waiters.empty() && CanReserve(budget, waiters.front().amount)) {
-    ReserveNow(budget, waiters.front().amount, now);
+    ReserveNow(budget, waiters.front().amount, now, options_.use_window);
     EndWaiter(waiters.front(), ReserveStatus::kReserved, tasks);
     waiters.pop_front();
   }
