--- a/core/rotation.cc
+++ b/core/rotation.cc
@@ -1,9 +1,13 @@
 #include "core/rotation.h"
 
+#include <algorithm>
+
 namespace crocuslatch {
 
 Rotation::Rotation(RotationOptions options, double link_bytes_per_s)
-    : options_(options), link_(link_bytes_per_s) {}
+    : options_(options),
+      link_(link_bytes_per_s),
+      time_out_(options.first_time) {}
 
 void Rotation::OnRequest(std::size_t bytes, Millis now) {
   arrivals_.push_back({now, bytes});
@@ -26,12 +30,15 @@
     return false;
   }
   const double part = Rate(now) / link_;
-  const bool is_full = is_full_ ? part >= options_.return_part ||
-                                      now < changed_at_ + options_.least_time
-                                : part > options_.leave_part;
+  const bool is_full =
+      is_full_ ? part >= options_.return_part || now < changed_at_ + time_out_
+               : part > options_.leave_part;
   if (is_full != is_full_) {
     is_full_ = is_full;
     changed_at_ = now;
+    if (!is_full) {
+      time_out_ = std::min(2 * time_out_, options_.longest_time);
+    }
   }
   return is_full_;
 }
--- a/core/rotation.h
+++ b/core/rotation.h
@@ -23,8 +23,11 @@
   // of the link already.
   double leave_part = 0.4;
   double return_part = 0.2;
-  // Time out of rotation; the balancer needs two probes to notice.
-  Millis least_time{4000};
+  // Time out of rotation; the balancer needs two probes to notice. It doubles
+  // each time, since the same callers come back by their hash: with 4 s one host
+  // of 67 filled up four times in 30 s.
+  Millis first_time{8000};
+  Millis longest_time{60000};
 };
 
 class Rotation {
@@ -51,6 +54,8 @@
   std::size_t sum_ = 0;
   bool is_full_ = false;
   Millis changed_at_{0};
+  // Time out of rotation at present or the next time.
+  Millis time_out_;
 };
 
 }  // namespace crocuslatch
--- a/tests/correctness/rotation_test.cc
+++ b/tests/correctness/rotation_test.cc
@@ -29,8 +29,19 @@
   CHECK_FALSE(Load(rotation, 10, Millis{0}, Millis{5000}));
   CHECK(Load(rotation, 50, Millis{5000}, Millis{2000}));
   // Probes come once a second, and two in a row count.
-  CHECK(rotation.IsLinkFull(Millis{9000}));
-  CHECK_FALSE(rotation.IsLinkFull(Millis{11'500}));
+  CHECK(rotation.IsLinkFull(Millis{12'000}));
+  CHECK_FALSE(rotation.IsLinkFull(Millis{14'000}));
+}
+
+// Guards against callers that come back by their hash and fill the link again
+// and again.
+TEST_CASE("a host that fills up again stays out longer") {
+  Rotation rotation({}, kSmallLink);
+  CHECK(Load(rotation, 50, Millis{0}, Millis{2000}));
+  CHECK_FALSE(rotation.IsLinkFull(Millis{10'000}));
+  CHECK(Load(rotation, 50, Millis{10'000}, Millis{2000}));
+  CHECK(rotation.IsLinkFull(Millis{25'000}));
+  CHECK_FALSE(rotation.IsLinkFull(Millis{28'000}));
 }
 
 // Guards against a host that comes and goes with every burst.
