--- a/app/front.cc
+++ b/app/front.cc
@@ -214,14 +214,22 @@
     peers->SendCommands(host, shard, std::move(commands), timeout,
                         [this, host, callback, begun = loop.now()](
                             LedgerStatus status, const auto& replies) {
-                          const Millis now = loop.now();
-                          writers.OnAnswer(host,
-                                           status == LedgerStatus::kDurable,
-                                           now - begun, now);
+                          OnWriterAnswer(host, status == LedgerStatus::kDurable,
+                                         loop.now() - begun);
                           callback(status, replies);
                         });
   }
 
+  void OnWriterAnswer(const std::string& host, bool is_answered, Millis took) {
+    if (!writers.OnAnswer(host, is_answered, took, loop.now())) {
+      return;
+    }
+    LogLine(is_answered ? LogEvent::kWriterRegained : LogEvent::kWriterLost)
+        .Add("host", host)
+        .Add("took_ms", took)
+        .Add("timeout_ms", writers.Timeout());
+  }
+
   // Writes the own shards and those that peers ask for.
   ApplyToShard MakeLedger() {
     return MakeLedgerClient(
@@ -245,7 +253,7 @@
           return host == settings.host_name ? std::string() : host;
         },
         [this](const std::string& host, bool is_answered, Millis took) {
-          writers.OnAnswer(host, is_answered, took, loop.now());
+          OnWriterAnswer(host, is_answered, took);
         });
   }
 
--- a/core/ledger_writers.cc
+++ b/core/ledger_writers.cc
@@ -62,25 +62,26 @@
   return std::clamp(wanted, options_.least_timeout, options_.longest_timeout);
 }
 
-void LedgerWriters::OnAnswer(const std::string& host,
+bool LedgerWriters::OnAnswer(const std::string& host,
                              bool is_answered,
                              Millis took,
                              Millis now) {
   constexpr double kWeight = 0.2;
   usual_ms_ += kWeight * (static_cast<double>(took.count()) - usual_ms_);
   if (is_answered) {
-    avoided_.erase(host);
-    return;
+    return avoided_.erase(host) > 0;
   }
   auto& it = avoided_[host];
   // Calls that were under way together fail together.
   if (now < it.until) {
-    return;
+    return false;
   }
+  const bool is_first = it.time.count() == 0;
   it.time = it.time.count() == 0
                 ? options_.first_avoidance
                 : std::min(it.time * 2, options_.longest_avoidance);
   it.until = now + it.time;
+  return is_first;
 }
 
 }  // namespace crocuslatch
--- a/core/ledger_writers.h
+++ b/core/ledger_writers.h
@@ -25,8 +25,8 @@
 namespace crocuslatch {
 
 struct LedgerWritersOptions {
-  // Hosts for each writer, at least. A writer of nine hosts sends 12 KB every 30 ms; at
-  // 64 hosts one writer alone would fill a link of 10 Mbit/s.
+  // Hosts for each writer, at least. A writer of nine hosts sends 12 KB every
+  // 30 ms; at 64 hosts one writer alone would fill a link of 10 Mbit/s.
   std::size_t hosts_per_writer = 8;
   // A writer that did not answer is passed over for this time, which doubles
   // with each further failure. Hosts that pass over a writer become writers
@@ -59,8 +59,9 @@
                                 const std::vector<WriterCandidate>& others,
                                 Millis now) const;
 
-  // A writer answered, or did not in time, after `took`.
-  void OnAnswer(const std::string& host,
+  // A writer answered, or did not in time, after `took`. True if it is passed
+  // over from now on, or no longer.
+  bool OnAnswer(const std::string& host,
                 bool is_answered,
                 Millis took,
                 Millis now);
--- a/src/log.cc
+++ b/src/log.cc
@@ -88,6 +88,8 @@
       {LogEvent::kGrantsReclaimed, LogLevel::kInfo, "grants_reclaimed"},
       {LogEvent::kTokensLent, LogLevel::kInfo, "tokens_lent"},
       {LogEvent::kTokensBorrowed, LogLevel::kInfo, "tokens_borrowed"},
+      {LogEvent::kWriterLost, LogLevel::kInfo, "ledger_writer_lost"},
+      {LogEvent::kWriterRegained, LogLevel::kInfo, "ledger_writer_regained"},
       {LogEvent::kStoreUnavailable, LogLevel::kWarning, "store_unavailable"},
       {LogEvent::kStoreRecovered, LogLevel::kInfo, "store_recovered"},
       {LogEvent::kStoreWriteUncertain, LogLevel::kWarning,
--- a/src/log.h
+++ b/src/log.h
@@ -50,6 +50,8 @@
   kGrantsReclaimed = 307,
   kTokensLent = 308,
   kTokensBorrowed = 309,
+  kWriterLost = 310,
+  kWriterRegained = 311,
   kStoreUnavailable = 400,
   kStoreRecovered = 401,
   kStoreWriteUncertain = 402,
--- a/tests/correctness/ledger_writers_test.cc
+++ b/tests/correctness/ledger_writers_test.cc
@@ -106,15 +106,16 @@
   };
   constexpr Millis kTook{250};
   REQUIRE(first(Millis{0}) == dead);
-  writers.OnAnswer(dead, false, kTook, Millis{0});
+  CHECK(writers.OnAnswer(dead, false, kTook, Millis{0}));
   // A second call that was under way at the same time.
-  writers.OnAnswer(dead, false, kTook, Millis{10});
+  CHECK_FALSE(writers.OnAnswer(dead, false, kTook, Millis{10}));
   CHECK(first(Millis{20}) != dead);
   CHECK(first(Millis{1000}) == dead);
   writers.OnAnswer(dead, false, kTook, Millis{1000});
   CHECK(first(Millis{2500}) != dead);
   CHECK(first(Millis{3000}) == dead);
-  writers.OnAnswer(dead, true, kTook, Millis{3000});
+  CHECK(writers.OnAnswer(dead, true, kTook, Millis{3000}));
+  CHECK_FALSE(writers.OnAnswer(dead, true, kTook, Millis{3001}));
   writers.OnAnswer(dead, false, kTook, Millis{4000});
   CHECK(first(Millis{5000}) == dead);
 }
