Ask the ledger's writers again after a cut, and correct lint findings

Change: a host that reaches the store again forgets whom it passed over. Lint found a parameter by value, a copy in a test and a loop without reserve; the formatter a comment.

--- a/app/front.cc
+++ b/app/front.cc
@@ -260,7 +260,16 @@
   RelayedStoreHooks MakeRelayHooks() {
     return {.peers = [this] { return hosts->Others(); },
             .random = &RandomDouble,
-            .on_contact = [this] { store_answered_at = loop.now(); }};
+            .on_contact = [this] { OnStoreContact(); }};
+  }
+
+  // After a cut all hosts would write for themselves, since they passed over
+  // their writers: 3,000 lost writes in 2 s with 64 hosts.
+  void OnStoreContact() {
+    if (IsCutOff()) {
+      writers.Forget();
+    }
+    store_answered_at = loop.now();
   }
 
   void Start() {
--- a/app/relayed_store.cc
+++ b/app/relayed_store.cc
@@ -470,7 +470,7 @@
 }
 
 Store RelayedStore::port_through(std::function<std::string()> gatherer,
-                                 OnGathererAnswer on_answer) {
+                                 const OnGathererAnswer& on_answer) {
   const auto host_to_ask = [core = core_, gatherer = std::move(gatherer)] {
     return core->network == nullptr ? std::string() : gatherer();
   };
--- a/app/relayed_store.h
+++ b/app/relayed_store.h
@@ -71,7 +71,7 @@
   // means the own path. `on_answer` is told whether the peer answered and the
   // time that it took.
   Store port_through(std::function<std::string()> gatherer,
-                     OnGathererAnswer on_answer);
+                     const OnGathererAnswer& on_answer);
 
   // Makes a peer's call by the own path; false if the message is none.
   bool OnMessage(const wire::Envelope& message,
--- a/core/ledger_writers.h
+++ b/core/ledger_writers.h
@@ -65,6 +65,9 @@
                 bool is_answered,
                 Millis took,
                 Millis now);
+  // The own host was cut off and is back: that others did not answer says
+  // nothing about them.
+  void Forget() { avoided_.clear(); }
   // How long to wait for a writer.
   Millis Timeout() const;
 
--- a/core/rotation.h
+++ b/core/rotation.h
@@ -24,8 +24,8 @@
   double leave_part = 0.4;
   double return_part = 0.2;
   // Time out of rotation; the balancer needs two probes to notice. It doubles
-  // each time, since the same callers come back by their hash: with 4 s one host
-  // of 67 filled up four times in 30 s.
+  // each time, since the same callers come back by their hash: with 4 s one
+  // host of 67 filled up four times in 30 s.
   Millis first_time{8000};
   Millis longest_time{60000};
 };
--- a/tests/correctness/forwarding_test.cc
+++ b/tests/correctness/forwarding_test.cc
@@ -338,6 +338,7 @@
 TEST_CASE("a request without a reachable server is refused as not run") {
   Fixture it;
   std::vector<BackendEntry> entries;
+  entries.reserve(12);
   for (int i = 0; i < 12; ++i) {
     entries.push_back({.id = fmt::format("i-{}", i),
                        .service = "s",
--- a/tests/correctness/ledger_writers_test.cc
+++ b/tests/correctness/ledger_writers_test.cc
@@ -97,7 +97,7 @@
 TEST_CASE("a writer that does not answer is passed over for a time") {
   const auto hosts = MakeHosts(9);
   const auto dead = WriterSeenBy(hosts[0], hosts, 0);
-  const auto own = hosts[dead == hosts[0].host ? 1 : 0];
+  const auto& own = hosts[dead == hosts[0].host ? 1 : 0];
   auto others = hosts;
   std::erase(others, own);
   LedgerWriters writers({}, own);
@@ -120,6 +120,22 @@
   CHECK(first(Millis{5000}) == dead);
 }
 
+// Guards against hosts that all write for themselves after a cut, since none
+// could reach its writer in it.
+TEST_CASE("a host that is back from a cut asks its writers again") {
+  const auto hosts = MakeHosts(3);
+  LedgerWriters writers({}, hosts[0]);
+  const Hosts others{hosts[1], hosts[2]};
+  const auto before = writers.Rank(0, others, Millis{0});
+  for (const auto& it : others) {
+    writers.OnAnswer(it.host, false, Millis{250}, Millis{0});
+  }
+  CHECK(writers.Rank(0, others, Millis{100}) ==
+        std::vector<std::string>{hosts[0].host});
+  writers.Forget();
+  CHECK(writers.Rank(0, others, Millis{100}) == before);
+}
+
 // Guards against a host without peers that asks nobody.
 TEST_CASE("the own host writes if it is alone") {
   const LedgerWriters writers({}, {"a", 10});
