Wait for requests that come while a planned stop returns its tokens

A request came on an open connection meanwhile, was passed on, and was cut 17 ms later when the tokens were back and the process ended. It could happen before, too; the way through the writers makes the return longer. Change: core/planned_stop decides the steps; the process ends only when no request is open. Ruled out: the listener's backlog (the connection was an open one).

--- a/app/front.cc
+++ b/app/front.cc
@@ -5,6 +5,7 @@
 
 #include <QRandomGenerator>
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 #include "app/desired_state_follower.h"
@@ -18,6 +19,7 @@
 #include "app/token_loans.h"
 #include "app/write_batching.h"
 #include "core/ledger_writers.h"
+#include "core/planned_stop.h"
 #include "core/rotation.h"
 #include "io/http_client.h"
 #include "io/http_front.h"
@@ -54,9 +56,7 @@
 // of them, and spreads the callers anew.
 constexpr Millis kRefusalMemory{3000};
 // Wait between two looks at what a planned stop still waits for.
-constexpr Millis kStopPoll{50};
-// Kept free at the end of the grace time to return what is held.
-constexpr Millis kStopReserve{1000};
+constexpr Millis kStopPoll{20};
 // From the start to the recovery of the previous process's tokens, by which the
 // hosts that write the ledger are known: two answers of the store. When 64
 // hosts wrote for themselves after a loss of power, 13,000 writes were lost.
@@ -176,6 +176,9 @@
   std::string not_ready_reason = "starting";
   bool is_stopping = false;
   Millis stop_began{0};
+  // When tokens began to go back in a planned stop.
+  std::optional<Millis> returning_since;
+  bool has_returned = false;
 
   Store MakeOwnPath() {
     return BatchWrites(
@@ -643,21 +646,33 @@
     loop.after(kOutOfRotation,
                [self = shared_from_this(), stopped = std::move(stopped)] {
                  self->callers->StopListening();
-                 self->WaitForRequests(stopped);
+                 self->ContinueStop(stopped);
                });
   }
 
-  void WaitForRequests(const std::function<void()>& stopped) {
-    const bool has_time =
-        loop.now() < stop_began + settings.grace - kStopReserve;
-    if (callers->open_requests() > 0 && has_time) {
-      loop.after(kStopPoll, [self = shared_from_this(), stopped] {
-        self->WaitForRequests(stopped);
-      });
+  void ContinueStop(const std::function<void()>& stopped) {
+    const Millis now = loop.now();
+    const auto step = NextStopStep(
+        {.grace = settings.grace},
+        {.since_signal = now - stop_began,
+         .open_requests = callers->open_requests(),
+         .returning_for = returning_since ? now - *returning_since : Millis{-1},
+         .has_returned = has_returned});
+    if (step == StopStep::kEnd) {
+      stopped();
       return;
     }
-    grants->ReturnAll(stopped);
-    loop.after(kStopReserve / 2, stopped);
+    if (step == StopStep::kReturnTokens) {
+      returning_since = now;
+      grants->ReturnAll([self = weak_from_this()] {
+        if (const auto core = self.lock()) {
+          core->has_returned = true;
+        }
+      });
+    }
+    loop.after(kStopPoll, [self = shared_from_this(), stopped] {
+      self->ContinueStop(stopped);
+    });
   }
 };
 
--- /dev/null
+++ b/core/planned_stop.cc
@@ -0,0 +1,19 @@
+#include "core/planned_stop.h"
+
+namespace crocuslatch {
+
+StopStep NextStopStep(const PlannedStopOptions& options,
+                      const StopProgress& progress) {
+  const bool has_time = progress.since_signal < options.grace - options.reserve;
+  if (progress.open_requests > 0 && has_time) {
+    return StopStep::kWait;
+  }
+  if (progress.returning_for < Millis{0}) {
+    return StopStep::kReturnTokens;
+  }
+  const bool is_over =
+      progress.has_returned || progress.returning_for >= options.longest_return;
+  return is_over ? StopStep::kEnd : StopStep::kWait;
+}
+
+}  // namespace crocuslatch
