Let the host that gathers calls read through peers, too

Cause: found when reading the change: a host that reads for others read the registry by its own path only, so that, cut off from the store alone, it kept an old list of servers although its peers reach the store. Change: its own reading falls back to peers like every other call, and counts as contact with the store. The test fails without it.

--- a/app/relayed_store.cc
+++ b/app/relayed_store.cc
@@ -492,13 +492,24 @@
     const auto on_range = [callback](const Answer& it) {
       callback(ToRange(it));
     };
+    const Call call{.kind = wire::StoreCall::ReadAll, .key = prefix};
     const auto host = host_to_ask();
-    if (host.empty()) {
-      core->ReadShared(prefix, on_range);
+    if (!host.empty()) {
+      core->StartThrough(host, call, on_range, on_answer);
+      return;
+    }
+    if (core->is_broken) {
+      core->Start(call, on_range);
       return;
     }
-    core->StartThrough(host, {.kind = wire::StoreCall::ReadAll, .key = prefix},
-                       on_range, on_answer);
+    core->ReadShared(prefix, [core, call, on_range](const Answer& answer) {
+      if (answer.status == StoreStatus::kUnknown) {
+        core->Start(call, on_range);
+        return;
+      }
+      core->hooks.on_contact();
+      on_range(answer);
+    });
   };
   return port;
 }
--- a/tests/correctness/relayed_store_test.cc
+++ b/tests/correctness/relayed_store_test.cc
@@ -194,4 +194,17 @@
   CHECK(it.a.not_gathered == 2);
 }
 
+// Guards against a host that gathers calls for others and, cut off from the
+// store, cannot read the registry although its peers can.
+TEST_CASE("the host that gathers calls reads through a peer itself") {
+  Fixture it;
+  CHECK(it.a.ReadThrough("").status == StoreStatus::kOk);
+  CHECK(it.a.contacts == 1);
+  RunFor(Millis{300});
+  it.a.has_path = false;
+  CHECK(it.a.ReadThrough("").revision == 5);
+  CHECK(it.a.ReadThrough("").revision == 5);
+  CHECK(it.a.contacts == 3);
+}
+
 }  // namespace crocuslatch
