Refuse requests that come on open connections 2.5 s after a stop began

Idle connections get no answer that could tell them to close. Ruled out: waiting longer (the stream needs more than the grace time leaves).

--- a/app/front.cc
+++ b/app/front.cc
@@ -26,7 +26,9 @@
 #include "platform/backend_entry_codec.h"
 #include "platform/desired_state_codec.h"
 #include "platform/kv_store.h"
+#include "platform/request_codec.h"
 #include "platform/wire_names.h"
+#include "src/error.h"
 #include "src/grant_table.h"
 #include "src/ip_endpoint.h"
 #include "src/log.h"
@@ -40,6 +42,9 @@
 // The balancer takes a host out after two missed probes, one each second, so
 // new connections may come this long after a planned stop begins.
 constexpr Millis kOutOfRotation{2500};
+// Callers are sent to hosts that are in rotation, at once.
+constexpr Millis kStoppingRetryAfter{20};
+constexpr int kUnavailable = 503;
 constexpr Millis kActivityPeriod{10000};
 // Part of the fleet's limit on repeats that is used, since arrivals at servers
 // and requests are counted at other moments, and hosts come and go.
@@ -295,8 +300,7 @@
     callers = std::make_unique<HttpFront>(
         ListenOptions(settings.caller_address),
         [this](const IncomingRequest& request, HttpReply reply) {
-          rotation.OnRequest(request.body.size(), loop.now());
-          ForwardRequest(context, request, std::move(reply));
+          OnRequest(request, std::move(reply));
         });
     callers->SetLimits(MakeLimits(CallerLimits{}));
     readiness = std::make_unique<HttpFront>(
@@ -324,6 +328,41 @@
     ShareRetriesLater();
   }
 
+  void OnRequest(const IncomingRequest& request, HttpReply reply) {
+    rotation.OnRequest(request.body.size(), loop.now());
+    if (is_stopping && loop.now() - stop_began >= kOutOfRotation) {
+      RefuseWhileStopping(request, std::move(reply));
+      return;
+    }
+    ForwardRequest(context, request, std::move(reply));
+  }
+
+  // Comes on a connection that was open and idle since the signal. What begins
+  // so late may not end in the grace time, and the caller has other hosts.
+  void RefuseWhileStopping(const IncomingRequest& request, HttpReply reply) {
+    std::string id;
+    try {
+      id = platform::DecodeCallerHeaders(request.headers).request_id;
+    } catch (const RequestError&) {
+      // Answers what is wrong with the request.
+      ForwardRequest(context, request, std::move(reply));
+      return;
+    }
+    const RequestError error(kUnavailable, Outcome::kNotRun, "stopping",
+                             "the router is being stopped",
+                             "send the request again on a new connection");
+    reply.SendWhole(kUnavailable,
+                    platform::RefusalHeaders(id, kStoppingRetryAfter),
+                    ErrorBody(error));
+    counters.Count("requests", "outcome", "stopping");
+    LogLine(LogEvent::kRequestEnded)
+        .Add("request", id)
+        .Add("outcome", "stopping")
+        .Add("status", kUnavailable)
+        .Add("attempts", 0)
+        .Add("since_signal_ms", loop.now() - stop_began);
+  }
+
   // The fleet's allowance of repeats is spread over the hosts that are known.
   void ShareRetriesLater() {
     const auto others = hosts->Others().size();
