--- a/app/write_batching.h
+++ b/app/write_batching.h
@@ -21,8 +21,8 @@
   // The platform takes 32 entries in a transaction, conditions and writes
   // together (docs/questions.md).
   std::size_t max_writes = 16;
-  // Total size of the values. Ten times the usual batch of nine hosts, and a
-  // tenth of a second of the slowest link (10 Mbit/s).
+  // Total size of the values: a tenth of a second of the slowest link (10
+  // Mbit/s).
   std::size_t max_bytes = 128 * 1024;
 };
 
--- a/core/ledger_writers.cc
+++ b/core/ledger_writers.cc
@@ -77,9 +77,8 @@
     return false;
   }
   const bool is_first = it.time.count() == 0;
-  it.time = it.time.count() == 0
-                ? options_.first_avoidance
-                : std::min(it.time * 2, options_.longest_avoidance);
+  it.time = is_first ? options_.first_avoidance
+                     : std::min(it.time * 2, options_.longest_avoidance);
   it.until = now + it.time;
   return is_first;
 }
--- a/core/ledger_writers.h
+++ b/core/ledger_writers.h
@@ -25,8 +25,8 @@
 namespace crocuslatch {
 
 struct LedgerWritersOptions {
-  // Hosts for each writer, at least. A writer of nine hosts sends 12 KB every
-  // 30 ms; at 64 hosts one writer alone would fill a link of 10 Mbit/s.
+  // Hosts for each writer, at least. Stored shards grow with the number of
+  // their holders, so that one writer for all hosts would fill its link.
   std::size_t hosts_per_writer = 8;
   // A writer that did not answer is passed over for this time, which doubles
   // with each further failure. Hosts that pass over a writer become writers
@@ -35,7 +35,7 @@
   Millis first_avoidance{1000};
   Millis longest_avoidance{2000};
   // A writer is waited for this multiple of a usual answer, within these
-  // bounds: a usual answer takes 35 ms, and 300 ms while the store is slow or
+  // bounds: answers take some hundred milliseconds while the store is slow or
   // the own link is full.
   double timeout_factor = 4;
   Millis least_timeout{250};
