Mend five faults of the router's own interface that were found by reading

Cause: a caller that left while its claim was in flight was counted as a missed deadline; a refresh of a shard that failed counted as fresh, so the next conflict waited for a backoff; two missed polls of 3 s do not fit into the 7 s within which a document must be in force; the states of removed servers and targets were kept for ever. Change: the claim is abandoned as caller_left; a failed refresh leaves the state as old as it is and goes on to the write; config_head_ms is at most 2000 (the default already was); poll states follow the table, idle targets are forgotten after ten half-lives of their rate.

--- a/src/load_poller.cc
+++ b/src/load_poller.cc
@@ -5,6 +5,7 @@
 #include <QJsonArray>
 #include <QJsonDocument>
 #include <QJsonObject>
+#include <algorithm>
 #include <map>
 
 #include "src/error.h"
@@ -46,7 +47,14 @@
 
   void Poll() {
     const auto now = loop.now();
-    for (const auto& it : table->View()) {
+    const auto view = table->View();
+    // A removed server's address may be used by another one later, which must
+    // not inherit its state.
+    std::erase_if(poll_states, [&](const auto& state) {
+      return std::ranges::find(view, state.first, &BackendStatus::server) ==
+             view.end();
+    });
+    for (const auto& it : view) {
       // Servers that this router does not use are polled by others.
       if (it.own_slots == 0) {
         continue;
@@ -79,7 +87,9 @@
                            [weak = weak_from_this(), name = server.server](
                                HttpResult end, int status, const HttpHeaders&,
                                const std::string& body) {
-                             if (const auto self = weak.lock()) {
+                             const auto self = weak.lock();
+                             // Otherwise the server was removed meanwhile.
+                             if (self && self->poll_states.contains(name)) {
                                self->poll_states[name].is_in_flight = false;
                                self->OnLoadReport(name, end, status, body);
                              }
@@ -112,7 +122,8 @@
             HttpResult end, int status, const HttpHeaders&,
             const std::string& body) {
           const auto self = weak.lock();
-          if (self && end == HttpResult::kComplete && status == 200) {
+          if (self && end == HttpResult::kComplete && status == 200 &&
+              self->poll_states.contains(name)) {
             self->OnCacheEvents(name, body);
           }
         });
--- a/src/order_request.cc
+++ b/src/order_request.cc
@@ -36,6 +36,8 @@
       return "the connection broke";
     case HttpResult::kTimedOut:
       return "it did not answer in time";
+    case HttpResult::kTooLarge:
+      return "its answer was too large";
     case HttpResult::kCancelled:
       return "the call was cancelled";
   }
@@ -236,8 +238,10 @@
 
   void OnClaimed(Millis confirmed_at) {
     const auto now = context_.loop.now();
-    if (pending_refusal_ || has_ended_) {
-      AbandonClaim(pending_refusal_.value_or(DeadlinePassed()));
+    if (has_ended_) {
+      AbandonClaim(CallerLeft());
+    } else if (pending_refusal_) {
+      AbandonClaim(*pending_refusal_);
     } else if (now >= deadline_ || now - confirmed_at > kMaxDispatchDelay ||
                now - claim_sent_at_ > kMaxClaimWait + kMaxDispatchDelay) {
       AbandonClaim(DeadlinePassed());
--- a/src/request_errors.cc
+++ b/src/request_errors.cc
@@ -70,6 +70,12 @@
           kRetryAfter};
 }
 
+RequestError CallerLeft() {
+  return {503, Outcome::kNotRun, "caller_left",
+          "the caller left before the request was dispatched",
+          "send the request again"};
+}
+
 RequestError DeadlinePassed() {
   return {504,
           Outcome::kNotRun,
--- a/src/request_errors.h
+++ b/src/request_errors.h
@@ -27,6 +27,10 @@
 // The request was not queued; `status` must not be kQueued.
 RequestError EnqueueRefused(EnqueueStatus status, const std::string& rank);
 
+// The caller disconnected before the request was dispatched. Counted and
+// logged only, since nobody receives it.
+RequestError CallerLeft();
+
 // The deadline passed before the request was dispatched.
 RequestError DeadlinePassed();
 
--- a/src/scheduler.cc
+++ b/src/scheduler.cc
@@ -68,6 +68,7 @@
   if (!rank && !work.resumed) {
     return EnqueueStatus::kUnknownRank;
   }
+  RemoveIdleTargets(now);
   auto& target_queue = GetOrAddTargetQueue(work.target);
   UpdateServiceRate(target_queue, now);
   if (!work.resumed) {
@@ -183,6 +184,15 @@
   return target_queue;
 }
 
+void SchedulerCore::RemoveIdleTargets(Millis now) {
+  // After this many half-lives, nothing is left of a target's service rate.
+  constexpr int kHalfLives = 10;
+  std::erase_if(target_queues_, [&](const auto& it) {
+    return it.second.count == 0 && now - it.second.rate_updated_at >
+                                       kHalfLives * options_.rate_half_life;
+  });
+}
+
 void SchedulerCore::UpdateServiceRate(TargetQueue& target_queue,
                                       Millis now) const {
   const auto passed =
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -86,6 +86,8 @@
 
   std::size_t queued() const { return positions_.size(); }
   std::size_t queued_bytes() const { return queued_bytes_; }
+  // Number of targets with waiting or recent work.
+  std::size_t TargetCount() const { return target_queues_.size(); }
   std::size_t QueuedOfRank(const std::string& rank) const;
   // Expected wait of new work; zero as long as the service rate is unknown.
   Millis ExpectedWait(const QueuedWork& work, Millis now) const;
@@ -134,6 +136,8 @@
   };
 
   std::optional<std::size_t> RankIndex(const std::string& rank) const;
+  // Forgets targets without waiting work, such as those of removed models.
+  void RemoveIdleTargets(Millis now);
   TargetQueue& GetOrAddTargetQueue(const std::string& target);
   void UpdateServiceRate(TargetQueue& target_queue, Millis now) const;
   Millis EstimateWait(const TargetQueue& target_queue,
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -18,8 +18,9 @@
 constexpr Millis kMinPeriod{50};
 constexpr Millis kMaxPeriod{60000};
 // A document must be in force everywhere within 7 s of its acceptance, also if
-// a router misses two polls of the head.
-constexpr Millis kMaxConfigHeadPeriod{3000};
+// a router misses two polls of the head: three periods, and a second to read
+// the document.
+constexpr Millis kMaxConfigHeadPeriod{2000};
 
 std::optional<std::string> ReadFile(const std::string& path) {
   std::ifstream file(path, std::ios::binary);
--- a/src/shard_writer.cc
+++ b/src/shard_writer.cc
@@ -602,15 +602,28 @@
     store_.peek(ShardKey(shard->number),
                 [self = shared_from_this(), shard](const StoreResult& result) {
                   self->NoteStoreStatus(*shard, result.status);
-                  shard->refreshed_at = self->loop_.now();
                   auto state = DecodeResult(shard->number, result);
-                  if (state && result.version > shard->version) {
+                  if (!state) {
+                    // The state stays as old as it is, and the write's version
+                    // check decides.
+                    self->WriteUnlessExpired(shard);
+                    return;
+                  }
+                  shard->refreshed_at = self->loop_.now();
+                  if (result.version > shard->version) {
                     self->Adopt(*shard, std::move(*state), result.version);
                   }
                   self->RunNextStep(shard);
                 });
   }
 
+  void WriteUnlessExpired(const ShardPtr& shard) {
+    ExpireCalls(*shard);
+    if (!StopIfQueueEmpty(*shard)) {
+      TryWrite(shard);
+    }
+  }
+
   void RetryLater(const ShardPtr& shard) {
     RunAfterBackoff(shard, [self = shared_from_this(), shard] {
       self->RunNextStep(shard);
--- a/tests/correctness/order_request_test.cc
+++ b/tests/correctness/order_request_test.cc
@@ -147,6 +147,25 @@
   CHECK(fixture.OpenCharges() == 0);
 }
 
+// Guards against a caller that leaves and is counted as a missed time limit.
+TEST_CASE("an order whose caller leaves during its claim is abandoned") {
+  OrderFixture fixture;
+  fixture.ledger_delay = Millis{100};
+  auto call = fixture.caller_client.Send(
+      fixture.MakeCall("/v1/services/booking/orders", "{}",
+                       {{"Idempotency-Key", "k"}}),
+      {});
+  RunFor(Millis{150});
+  call.Cancel();
+  REQUIRE(fixture.WaitUntilSettled());
+  RunFor(Millis{300});
+  CHECK(fixture.runs == 0);
+  CHECK(fixture.OpenCharges() == 0);
+  const auto text = fixture.context.metrics->PrometheusText();
+  CHECK(text.find("caller_left") != std::string::npos);
+  CHECK(text.find("deadline_passed") == std::string::npos);
+}
+
 // Guards against a dispatch by a process that was paused for so long that other
 // routers may already consider it gone.
 TEST_CASE("an order whose process was paused after its claim is abandoned") {
--- a/tests/correctness/scheduler_test.cc
+++ b/tests/correctness/scheduler_test.cc
@@ -1,7 +1,9 @@
 #include "src/scheduler.h"
 
+#include <fmt/format.h>
 #include <array>
 #include <atomic>
+
 #include <catch2/catch.hpp>
 #include <thread>
 
@@ -86,6 +88,24 @@
   CHECK(may_use_reserved_slots == std::vector<bool>{true, true, false});
 }
 
+// Guards against state that is kept for ever for models that were removed.
+TEST_CASE("a target without work is forgotten") {
+  auto core = MakeCore();
+  for (int i = 0; i < 50; ++i) {
+    auto work = Work("bulk");
+    work.target = fmt::format("model-{}", i);
+    const auto id = static_cast<WorkId>(i + 1);
+    REQUIRE(core.Enqueue(id, work, kStart) == EnqueueStatus::kQueued);
+    REQUIRE(core.Cancel(id));
+  }
+  CHECK(core.TargetCount() == 50);
+  auto work = Work("bulk");
+  const Millis later = kStart + std::chrono::hours(1);
+  work.deadline = later + Millis{1000};
+  REQUIRE(core.Enqueue(100, work, later) == EnqueueStatus::kQueued);
+  CHECK(core.TargetCount() == 1);
+}
+
 // Guards against queues that grow without bound.
 TEST_CASE("a full queue refuses by count and by bytes") {
   auto core = MakeCore({.max_queued_bytes = 1000});
--- a/tests/error/settings_error_test.cc
+++ b/tests/error/settings_error_test.cc
@@ -40,7 +40,7 @@
       {"http://127.0.0.1:7500", "http://127.0.0.1:7500/v1", "not a base URL"},
       {"address = \"127.0.0.1:7301\"", "address = \"127.0.0.1\"",
        "not an IP address with a port"},
-      {"config_head_ms = 2000", "config_head_ms = 9000", "outside 50 to 3000"},
+      {"config_head_ms = 2000", "config_head_ms = 9000", "outside 50 to 2000"},
       {"worker_threads = 2", "worker_threads = 0", "outside 1 to 64"},
       {"[store]", "[shop]", "has no \"store\""},
   }));
