--- a/app/holder_recovery.cc
+++ b/app/holder_recovery.cc
@@ -17,74 +17,80 @@
   std::string budgets;
 };
 
-class HolderRecovery : public std::enable_shared_from_this<HolderRecovery> {
- public:
-  HolderRecovery(HolderRecoveryOptions options,
-                 Store store,
-                 EventLoop loop,
-                 ApplyToShard apply,
-                 std::function<void(std::uint64_t)> done)
-      : options_(std::move(options)),
-        store_(std::move(store)),
-        loop_(std::move(loop)),
-        apply_(std::move(apply)),
-        done_(std::move(done)) {}
+}  // namespace
+
+struct HolderRecovery::Core
+    : std::enable_shared_from_this<HolderRecovery::Core> {
+  HolderRecoveryOptions options;
+  Store store;
+  EventLoop loop;
+  ApplyToShard apply;
+  Done done;
+  std::uint64_t stamp_version = 0;
+  HolderId previous_holder;
+  Millis max_lifetime{0};
+  std::vector<ShardToReclaim> shards;
+  // Shards whose reclaim command is not confirmed yet.
+  std::size_t unconfirmed_shards = 0;
 
   void ReadStamp() {
-    store_.get(options_.stamp_key,
-               [self = shared_from_this()](const StoreResult& it) {
-                 self->OnStamp(it);
-               });
+    store.get(options.stamp_key,
+              [self = weak_from_this()](const StoreResult& it) {
+                if (const auto core = self.lock()) {
+                  core->OnStamp(it);
+                }
+              });
   }
 
- private:
   void OnStamp(const StoreResult& result) {
     if (result.status == StoreStatus::kUnknown) {
       // Retries until the stamp is read. It may be too old by then to prove
       // anything, but its version is needed to write the next one.
-      RetryLater(&HolderRecovery::ReadStamp);
+      RetryLater(&Core::ReadStamp);
       return;
     }
-    stamp_version_ = result.version;
+    stamp_version = result.version;
     const auto stamp = DecodeHostStamp(result.value);
-    const auto lifetime = stamp ? MaxLifetime(*stamp, options_.start_stamp,
-                                              options_.stamp_options)
-                                : std::nullopt;
+    const auto lifetime =
+        stamp ? MaxLifetime(*stamp, options.start_stamp, options.stamp_options)
+              : std::nullopt;
     LogLine(LogEvent::kPreviousProcess)
         .Add("found", stamp.has_value())
         .Add("lived_ms_at_most", lifetime.value_or(Millis{-1}))
         .Add("by_wall_ms",
-             stamp ? options_.start_stamp.wall_time - stamp->wall_time
+             stamp ? options.start_stamp.wall_time - stamp->wall_time
                    : Millis{0})
         .Add("by_boot_ms",
-             stamp ? options_.start_stamp.boot_time - stamp->boot_time
+             stamp ? options.start_stamp.boot_time - stamp->boot_time
                    : Millis{0});
     if (!lifetime) {
-      done_(stamp_version_);
+      done(stamp_version);
       return;
     }
-    max_lifetime_ = *lifetime;
-    previous_holder_ = {options_.host, stamp->incarnation};
+    max_lifetime = *lifetime;
+    previous_holder = {options.host, stamp->incarnation};
     ReadLedger();
   }
 
   void ReadLedger() {
-    store_.read_all(options_.ledger_prefix,
-                    [self = shared_from_this()](const StoreRangeResult& it) {
-                      self->OnLedger(it);
-                    });
+    store.read_all(options.ledger_prefix,
+                   [self = weak_from_this()](const StoreRangeResult& it) {
+                     if (const auto core = self.lock()) {
+                       core->OnLedger(it);
+                     }
+                   });
   }
 
   void OnLedger(const StoreRangeResult& range) {
     if (range.status != StoreStatus::kOk) {
-      RetryLater(&HolderRecovery::ReadLedger);
+      RetryLater(&Core::ReadLedger);
       return;
     }
     for (const auto& it : range.items) {
       try {
         const auto state = DecodeShardState(it.value);
         if (auto budgets = HeldBudgets(state); !budgets.empty()) {
-          shards_.push_back({state.shard, std::move(budgets)});
+          shards.push_back({state.shard, std::move(budgets)});
         }
       } catch (const UserError& error) {
         LogLine(LogEvent::kShardUnreadable)
@@ -100,7 +106,7 @@
   std::string HeldBudgets(const ShardState& state) const {
     std::string names;
     for (const auto& [name, budget] : state.budgets) {
-      const auto grant = budget.grants.find(previous_holder_);
+      const auto grant = budget.grants.find(previous_holder);
       if (grant != budget.grants.end() && grant->second.outstanding > 0) {
         names += names.empty() ? name : " " + name;
       }
@@ -111,23 +117,25 @@
   // Reclaims from all shards at once: after a power loss every host reclaims,
   // and one write carries the commands of many hosts.
   void ReclaimAllShards() {
-    unconfirmed_shards_ = shards_.size();
-    if (unconfirmed_shards_ == 0) {
-      done_(stamp_version_);
+    unconfirmed_shards = shards.size();
+    if (unconfirmed_shards == 0) {
+      done(stamp_version);
       return;
     }
-    for (const auto& it : shards_) {
+    for (const auto& it : shards) {
       Reclaim(it);
     }
   }
 
   void Reclaim(const ShardToReclaim& shard) {
-    apply_(shard.number, {ReclaimCommand{previous_holder_, max_lifetime_}},
-           options_.apply_timeout,
-           [self = shared_from_this(), shard](
-               LedgerStatus status, const std::vector<ShardReply>& replies) {
-             self->OnReclaimed(shard, status, replies);
-           });
+    apply(shard.number, {ReclaimCommand{previous_holder, max_lifetime}},
+          options.apply_timeout,
+          [self = weak_from_this(), shard](
+              LedgerStatus status, const std::vector<ShardReply>& replies) {
+            if (const auto core = self.lock()) {
+              core->OnReclaimed(shard, status, replies);
+            }
+          });
   }
 
   void OnReclaimed(const ShardToReclaim& shard,
@@ -135,46 +143,45 @@
                    const std::vector<ShardReply>& replies) {
     if (status != LedgerStatus::kDurable) {
       // Retrying is safe: the command is idempotent.
-      loop_.after(options_.retry_delay,
-                  [self = shared_from_this(), shard] { self->Reclaim(shard); });
+      loop.after(options.retry_delay, [self = weak_from_this(), shard] {
+        if (const auto core = self.lock()) {
+          core->Reclaim(shard);
+        }
+      });
       return;
     }
     LogLine(LogEvent::kGrantsReclaimed)
-        .Add("holder", ToString(previous_holder_))
+        .Add("holder", ToString(previous_holder))
         .Add("budgets", shard.budgets)
         .Add("tokens", replies.front().granted);
-    if (--unconfirmed_shards_ == 0) {
-      done_(stamp_version_);
+    if (--unconfirmed_shards == 0) {
+      done(stamp_version);
     }
   }
 
-  void RetryLater(void (HolderRecovery::*next)()) {
-    loop_.after(options_.retry_delay,
-                [self = shared_from_this(), next] { (*self.*next)(); });
+  void RetryLater(void (Core::*next)()) {
+    loop.after(options.retry_delay, [self = weak_from_this(), next] {
+      if (const auto core = self.lock()) {
+        (*core.*next)();
+      }
+    });
   }
-
-  const HolderRecoveryOptions options_;
-  const Store store_;
-  const EventLoop loop_;
-  const ApplyToShard apply_;
-  const std::function<void(std::uint64_t)> done_;
-  std::uint64_t stamp_version_ = 0;
-  HolderId previous_holder_;
-  Millis max_lifetime_{0};
-  std::vector<ShardToReclaim> shards_;
-  // Shards whose reclaim command is not confirmed yet.
-  std::size_t unconfirmed_shards_ = 0;
 };
 
-}  // namespace
-
-void RecoverHolder(const HolderRecoveryOptions& options,
-                   const Store& store,
-                   const EventLoop& loop,
-                   const ApplyToShard& apply,
-                   std::function<void(std::uint64_t stamp_version)> done) {
-  std::make_shared<HolderRecovery>(options, store, loop, apply, std::move(done))
-      ->ReadStamp();
+HolderRecovery::HolderRecovery(const HolderRecoveryOptions& options,
+                               Store store,
+                               EventLoop loop,
+                               ApplyToShard apply,
+                               Done done)
+    : core_(std::make_shared<Core>()) {
+  core_->options = options;
+  core_->store = std::move(store);
+  core_->loop = std::move(loop);
+  core_->apply = std::move(apply);
+  core_->done = std::move(done);
+  core_->ReadStamp();
 }
 
+HolderRecovery::~HolderRecovery() = default;
+
 }  // namespace crocuslatch
--- a/app/holder_recovery.h
+++ b/app/holder_recovery.h
@@ -1,7 +1,9 @@
 #ifndef APP_HOLDER_RECOVERY_H_
 #define APP_HOLDER_RECOVERY_H_
 
+#include <cstdint>
 #include <functional>
+#include <memory>
 #include <string>
 
 #include "core/host_stamp.h"
@@ -28,14 +30,27 @@
   Millis apply_timeout{2000};
 };
 
-// Reclaims the tokens that the previous process cannot have used. `done` is
-// called once, with the stored version of the stamp. No stamp may be written
-// before, since the old one bounds what can be reclaimed.
-void RecoverHolder(const HolderRecoveryOptions& options,
-                   const Store& store,
-                   const EventLoop& loop,
-                   const ApplyToShard& apply,
-                   std::function<void(std::uint64_t stamp_version)> done);
+// Reclaims the tokens that the previous process cannot have used. Stops when it
+// is destroyed.
+class HolderRecovery {
+ public:
+  using Done = std::function<void(std::uint64_t stamp_version)>;
+
+  // `done` is called once, with the stored version of the stamp. No stamp may
+  // be written before, since the old one bounds what can be reclaimed.
+  HolderRecovery(const HolderRecoveryOptions& options,
+                 Store store,
+                 EventLoop loop,
+                 ApplyToShard apply,
+                 Done done);
+  ~HolderRecovery();
+  HolderRecovery(const HolderRecovery&) = delete;
+  HolderRecovery& operator=(const HolderRecovery&) = delete;
+
+ private:
+  struct Core;
+  std::shared_ptr<Core> core_;
+};
 
 }  // namespace crocuslatch
 
--- a/tests/correctness/holder_recovery_test.cc
+++ b/tests/correctness/holder_recovery_test.cc
@@ -48,12 +48,12 @@
   std::optional<std::uint64_t> Recover(const HostStamp& start_stamp,
                                        Millis limit = Millis{5000}) {
     std::optional<std::uint64_t> version;
-    RecoverHolder({.host = "h",
-                   .stamp_key = "hosts/h",
-                   .ledger_prefix = "ledger/",
-                   .start_stamp = start_stamp},
-                  store, loop.Hooks(), apply,
-                  [&](std::uint64_t it) { version = it; });
+    const HolderRecovery recovery({.host = "h",
+                                   .stamp_key = "hosts/h",
+                                   .ledger_prefix = "ledger/",
+                                   .start_stamp = start_stamp},
+                                  store, loop.Hooks(), apply,
+                                  [&](std::uint64_t it) { version = it; });
     loop.RunUntil([&] { return version.has_value(); }, limit);
     return version;
   }
