--- a/app/forwarding.cc
+++ b/app/forwarding.cc
@@ -17,9 +17,6 @@
 // Timeout for a new connection to a backend server. A lost SYN is retransmitted
 // only after one second.
 constexpr Millis kConnectTimeout{300};
-// Timeout for the next bytes of a stream. Callers give up after two seconds at
-// the earliest.
-constexpr Millis kStreamStallTimeout{4000};
 // Timeout for the reservation of a client account's tokens.
 constexpr Millis kReserveTimeout{250};
 // Retry-After while other routers hold the rest of a budget. They settle and
@@ -42,8 +39,9 @@
 constexpr Millis kMinTimeLeft{5};
 // Time limit of a request whose caller states none.
 constexpr Millis kDefaultTimeLimit{30000};
-// Size limit of a response that is not streamed; the rest is dropped.
-constexpr std::size_t kMaxBufferedBytes = 16 << 20;
+// Retry-After of a request that waited unread on this host until its time limit
+// may have passed. The caller's next connection may reach another host.
+constexpr Millis kReadLateRetryAfter{50};
 
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
@@ -61,6 +59,7 @@
   std::string message;
   std::string remedy;
   Millis retry_after{0};
+  Outcome outcome = Outcome::kNotRun;
 };
 
 Failure Unavailable(std::string code, std::string message, Millis retry_after) {
@@ -68,6 +67,16 @@
           "send the request again after the given time", retry_after};
 }
 
+// A failure after which the request may have run.
+Failure OutcomeUnknown(int status, std::string code, std::string message) {
+  return {status,
+          std::move(code),
+          std::move(message),
+          "the request may have run; check before sending it again",
+          Millis{0},
+          Outcome::kOutcomeUnknown};
+}
+
 class ForwardedRequest : public std::enable_shared_from_this<ForwardedRequest> {
  public:
   ForwardedRequest(std::shared_ptr<const ForwardContext> context,
@@ -80,7 +89,8 @@
         path_(request.path),
         headers_(request.headers),
         body_(request.body),
-        arrived_at_(context_->loop.now()) {}
+        unread_time_(request.unread_time),
+        arrived_at_(context_->loop.now() - request.unread_time) {}
 
   void Start() {
     try {
@@ -100,7 +110,14 @@
     const auto remaining = std::min(
         caller_.time_limit.value_or(kDefaultTimeLimit), route_->timeout);
     deadline_ = arrived_at_ + remaining;
-    context_->loop.after(remaining, [weak = weak_from_this()] {
+    const Millis left = deadline_ - context_->loop.now();
+    if (left < kMinTimeLeft) {
+      Fail(Unavailable("read_late",
+                       "the request waited on this host until its time limit",
+                       kReadLateRetryAfter));
+      return;
+    }
+    context_->loop.after(left, [weak = weak_from_this()] {
       if (const auto self = weak.lock()) {
         self->OnDeadline();
       }
@@ -246,6 +263,12 @@
       OnDeadline();
       return;
     }
+    // The caller may have left while the request or the end of its connection
+    // waited unread.
+    if (reply_.HasCallerLeft()) {
+      Finish("caller_left", 0);
+      return;
+    }
     const auto choice = context_->placement->Choose({.service = service_,
                                                      .work = work(),
                                                      .tried = &tried_servers_,
@@ -296,7 +319,6 @@
       };
     };
     const Millis remaining = deadline_ - now;
-    const bool is_stream = route_->kind == RouteKind::kStreaming;
     call_ = context_->client->Send(
         {.method = method_,
          .url = fmt::format("http://{}{}", choice->address, target_),
@@ -304,7 +326,7 @@
          .body = body_,
          .connect_timeout = std::min(kConnectTimeout, remaining),
          .first_byte_timeout = remaining,
-         .stall_timeout = is_stream ? kStreamStallTimeout : remaining},
+         .stall_timeout = remaining},
         {.accepts_response =
              [id = caller_.request_id](int status, const HttpHeaders& it) {
                const auto response = platform::DecodeServerResponse(status, it);
@@ -341,7 +363,10 @@
     const auto response = platform::DecodeServerResponse(status, headers);
     status_ = status;
     is_sealed_ = response.has_seal;
-    not_executed_ = response.not_executed;
+    // On a reused connection, a response without an id may be a late second one
+    // to an earlier request and says nothing about this one.
+    not_executed_ = response.not_executed && (!response.request_id.empty() ||
+                                              call_.is_on_new_connection());
     has_response_begun_ = has_response_begun_ || IsSuccess(status);
     if (response.load) {
       context_->placement->OnLoadReport(server_id_, response.load->running,
@@ -354,6 +379,42 @@
     if (IsSuccess(status)) {
       context_->placement->OnFirstByte(*dispatch_id_, now);
     }
+    if (IsStreamingResponse()) {
+      last_event_at_ = now;
+      WatchForStall();
+    }
+  }
+
+  // Ends the dispatch if no event arrives for longer than callers wait. Bytes
+  // that complete no event do not count: a stalled server may still send some
+  // now and then.
+  void WatchForStall() {
+    const Millis patience =
+        StreamPatience(*route_, context_->limits.min_stream_patience);
+    context_->loop.after(
+        last_event_at_ + patience - context_->loop.now(),
+        [weak = weak_from_this(), patience, attempt = attempts_] {
+          const auto self = weak.lock();
+          if (!self || self->is_done_ || self->attempts_ != attempt ||
+              !self->dispatch_id_) {
+            return;
+          }
+          if (self->context_->loop.now() - self->last_event_at_ < patience) {
+            self->WatchForStall();
+            return;
+          }
+          self->AbandonServer(HttpResult::kTimedOut, "stream_stalled");
+        });
+  }
+
+  // Gives up on the current server, whose response is unusable.
+  void AbandonServer(HttpResult end, std::string_view reason) {
+    may_have_run_ = true;
+    EndDispatch(DispatchResult::kFailed, end);
+    call_.Cancel();
+    response_body_ = {};
+    event_splitter_ = {};
+    Retry(true, reason);
   }
 
   bool IsStreamingResponse() const {
@@ -363,19 +424,32 @@
 
   void OnData(std::string_view bytes) {
     if (!IsStreamingResponse()) {
-      if (response_body_.size() + bytes.size() <= kMaxBufferedBytes) {
-        response_body_ += bytes;
+      if (response_body_.size() + bytes.size() >
+          context_->limits.max_buffered_bytes) {
+        AbandonServer(HttpResult::kTooLarge, "answer_too_large");
+        return;
       }
+      response_body_ += bytes;
       return;
     }
     for (const auto& event : event_splitter_.Add(bytes)) {
       ++event_count_;
+      last_event_at_ = context_->loop.now();
       last_event_id_ = event.id;
       StartStream();
       if (first_event_at_.count() == 0) {
         first_event_at_ = context_->loop.now();
       }
       reply_.Write(event.bytes);
+      if (!reply_.IsOpen()) {
+        // The caller reads too slowly and was disconnected.
+        OnCallerDisconnected();
+        return;
+      }
+    }
+    if (!is_done_ &&
+        event_splitter_.partial_bytes() > context_->limits.max_event_bytes) {
+      AbandonServer(HttpResult::kTooLarge, "event_too_large");
     }
   }
 
@@ -425,7 +499,8 @@
     if (is_sealed_error &&
         (status_ < kFirstServerError || is_streaming_ || !CanRetry(true))) {
       if (is_streaming_) {
-        Fail({kBadGateway, "stream_broken", "", ""});
+        Fail(OutcomeUnknown(kBadGateway, "stream_broken",
+                            "the stream broke off"));
         return;
       }
       reply_.SendResponse(status_, response_headers_, response_body_);
@@ -469,8 +544,7 @@
   // server can have run the request.
   void FailDispatch(const std::string& code, const std::string& message) {
     if (may_have_run_) {
-      Fail({kBadGateway, code, message,
-            "the request may have run; check before sending it again"});
+      Fail(OutcomeUnknown(kBadGateway, code, message));
       return;
     }
     Fail(Unavailable(code, message, Millis{200}));
@@ -537,9 +611,9 @@
     }
     CancelDispatch();
     if (may_have_run_) {
-      Fail({kGatewayTimeout, "timeout",
-            "the request timed out before the response was complete",
-            "the request may have run; check before sending it again"});
+      Fail(OutcomeUnknown(
+          kGatewayTimeout, "timeout",
+          "the request timed out before the response was complete"));
     } else {
       Fail(Unavailable("timeout",
                        "the request timed out before a backend server "
@@ -557,7 +631,7 @@
       Finish(failure.code, 0);
       return;
     }
-    const RequestError error(failure.status, Outcome::kNotRun, failure.code,
+    const RequestError error(failure.status, failure.outcome, failure.code,
                              failure.message, failure.remedy);
     reply_.SendResponse(
         failure.status,
@@ -607,6 +681,7 @@
                                    ? first_event_at_ - arrived_at_
                                    : Millis{-1})
         .Add("took_ms", now - arrived_at_)
+        .Add("unread_ms", unread_time_)
         .Add("prompt_tokens", caller_.work ? caller_.work->prompt_tokens : 0)
         .Add("max_output_tokens",
              caller_.work ? caller_.work->max_output_tokens : 0)
@@ -636,6 +711,7 @@
   const std::string path_;
   const HttpHeaders headers_;
   const std::string body_;
+  const Millis unread_time_;
   const Millis arrived_at_;
   Millis deadline_{0};
   platform::CallerHeaders caller_;
@@ -677,6 +753,8 @@
   Tokens event_count_ = 0;
   std::string last_event_id_;
   Millis first_event_at_{0};
+  // Time of the last event, or of the head of the stream's response.
+  Millis last_event_at_{0};
 };
 
 }  // namespace
--- a/app/forwarding.h
+++ b/app/forwarding.h
@@ -21,10 +21,24 @@
 
 namespace crocuslatch {
 
+// Limits on what a backend server may send. A faulty server may send bytes
+// without end; a response beyond a limit is a failure of the server.
+struct ForwardLimits {
+  // Size of a response that is not streamed. It is held in memory until it is
+  // complete, on hosts with 88 MB.
+  std::size_t max_buffered_bytes = 8 << 20;
+  // Size of one event of a stream; events hold a few tokens.
+  std::size_t max_event_bytes = 256 << 10;
+  // A stream ends after this time without an event, or after the longer
+  // patience of its route's callers. Callers wait two seconds at least.
+  Millis min_stream_patience{2000};
+};
+
 // Dependencies of ForwardRequest. All of them are used on the thread of `loop`
 // only.
 struct ForwardContext {
   EventLoop loop;
+  ForwardLimits limits;
   HttpClient* client = nullptr;
   Placement* placement = nullptr;
   RetryBudget* retry_budget = nullptr;
--- a/app/front.cc
+++ b/app/front.cc
@@ -19,6 +19,7 @@
 #include "app/token_loans.h"
 #include "app/write_batching.h"
 #include "core/ledger_writers.h"
+#include "core/loop_lag.h"
 #include "core/planned_stop.h"
 #include "core/rotation.h"
 #include "io/http_client.h"
@@ -77,6 +78,9 @@
 constexpr Millis kSecretRetryDelay{200};
 // Timeout until both sides are authenticated; hosts are a millisecond apart.
 constexpr Millis kPeerConnectTimeout{300};
+// Fraction of the drain bound after which the registry of servers is read
+// again. A read that fails is repeated within the other half.
+constexpr double kRegistryPeriodFraction = 0.45;
 // Number of ledger shards. Callers of an account stay with a few hosts, so two
 // hosts rarely write the shard of a single account at once. With 2 shards for
 // 10 accounts, nearly every second write lost to another host's.
@@ -150,6 +154,7 @@
         retry_budget({.window = settings.retry_window,
                       .ratio = settings.retry_ratio * kRetryLimitFraction}),
         rotation_policy({}, settings.link_mbps * kBytesPerMegabit),
+        loop_lag({}, BootNow()),
         holder(MakeHolderId(settings.host_name)),
         start_stamp(MakeStamp()) {}
 
@@ -165,6 +170,7 @@
   Placement placement;
   RetryBudget retry_budget;
   RotationPolicy rotation_policy;
+  LoopLag loop_lag;
   const HolderId holder;
   const HostStamp start_stamp;
   std::unique_ptr<DesiredStateFollower> follower;
@@ -174,6 +180,7 @@
   std::unique_ptr<TokenLoans> token_loans;
   std::unique_ptr<LoadBroadcast> load_broadcast;
   std::unique_ptr<StampWriter> stamp_writer;
+  std::unique_ptr<HolderRecovery> recovery;
   // Applies commands to shards by this host's own writes.
   ApplyToShard local_ledger;
   std::unique_ptr<GrantTable> grants;
@@ -306,12 +313,17 @@
         store, loop, &platform::DecodeDesiredState,
         [this](const RoutingTablePointer& it) { OnDesiredState(it); });
     server_registry = std::make_unique<ServerRegistryReader>(
-        ServerRegistryReaderOptions{.prefix =
-                                        std::string(platform::kServersPrefix)},
+        ServerRegistryReaderOptions{
+            .prefix = std::string(platform::kServersPrefix),
+            .poll_period = RegistryPollPeriod()},
         aggregated_store, loop, &platform::DecodeBackendEntry,
         [this](const auto& it) { placement.SetServers(it, loop.now()); });
+    auto caller_options = ListenOptions(settings.caller_address);
+    caller_options.unread_time = [this] {
+      return loop_lag.MaxUnreadTime(loop.now());
+    };
     caller_server = std::make_unique<HttpServer>(
-        ListenOptions(settings.caller_address),
+        caller_options,
         [this](const IncomingRequest& request, HttpReply reply) {
           OnRequest(request, std::move(reply));
         });
@@ -338,6 +350,8 @@
     server_registry->Start();
     hosts->Start();
     ReadSecret();
+    loop_lag.OnTick(loop.now());
+    TickLater();
     LogActivityLater();
     UpdateRetryShareLater();
   }
@@ -392,6 +406,20 @@
     });
   }
 
+  void TickLater() {
+    loop.after(loop_lag.tick_period(), [self = weak_from_this()] {
+      if (const auto core = self.lock()) {
+        core->loop_lag.OnTick(core->loop.now());
+        core->TickLater();
+      }
+    });
+  }
+
+  Millis RegistryPollPeriod() const {
+    return Millis{static_cast<Millis::rep>(
+        kRegistryPeriodFraction * static_cast<double>(settings.drain.count()))};
+  }
+
   void LogActivityLater() {
     loop.after(kActivityLogPeriod, [self = weak_from_this()] {
       if (const auto core = self.lock()) {
@@ -574,13 +602,13 @@
   }
 
   void Recover(const std::string& stamp_key, const ApplyToShard& ledger) {
-    RecoverHolder({.host = settings.host_name,
-                   .stamp_key = stamp_key,
-                   .ledger_prefix = "ledger/",
-                   .start_stamp = start_stamp},
-                  store, loop, ledger, [this](std::uint64_t version) {
-                    stamp_writer->Start(version);
-                  });
+    recovery = std::make_unique<HolderRecovery>(
+        HolderRecoveryOptions{.host = settings.host_name,
+                              .stamp_key = stamp_key,
+                              .ledger_prefix = "ledger/",
+                              .start_stamp = start_stamp},
+        store, loop, ledger,
+        [this](std::uint64_t version) { stamp_writer->Start(version); });
   }
 
   void StartContext() {
@@ -650,6 +678,9 @@
     if (IsCutOff() && loop.now() - refused_at < kRefusalWindow) {
       return "store_unreachable";
     }
+    if (loop_lag.IsOverloaded(loop.now())) {
+      return "processor_overloaded";
+    }
     return rotation_policy.IsLinkFull(loop.now()) ? "link_full" : "";
   }
 
@@ -665,6 +696,7 @@
         .Add("ready", reason.empty())
         .Add("reason", reason)
         .Add("store_answered_ms_ago", loop.now() - store_answered_at)
+        .Add("loop_lag_ms", loop_lag.AverageMs())
         .Add("link_bytes_per_s",
              static_cast<std::int64_t>(
                  rotation_policy.BytesPerSecond(loop.now())));
--- a/core/desired_state.cc
+++ b/core/desired_state.cc
@@ -26,6 +26,13 @@
 
 }  // namespace
 
+Millis StreamPatience(const RouteSpec& route, Millis min_patience) {
+  constexpr int kTargets = 4;
+  constexpr int kGaps = 8;
+  return std::max({min_patience, kTargets * route.target_latency,
+                   kGaps * route.max_event_gap});
+}
+
 std::string_view ToString(RouteKind kind) {
   switch (kind) {
     case RouteKind::kSafe:
--- a/core/desired_state.h
+++ b/core/desired_state.h
@@ -61,6 +61,11 @@
   bool operator==(const RouteSpec&) const = default;
 };
 
+// Returns the time without an event after which all callers of a stream have
+// given up: four times the latency target, eight times the target for gaps, and
+// at least `min_patience`.
+Millis StreamPatience(const RouteSpec& route, Millis min_patience);
+
 // Capacity of a model engine; the same for all servers of a service.
 struct EngineSpec {
   int slots = 1;
--- a/core/rotation.cc
+++ b/core/rotation.cc
@@ -1,13 +1,11 @@
 #include "core/rotation.h"
 
-#include <algorithm>
-
 namespace crocuslatch {
 
 RotationPolicy::RotationPolicy(RotationOptions options, double link_bytes_per_s)
     : options_(options),
       link_bytes_per_s_(link_bytes_per_s),
-      exclusion_(options.initial_exclusion) {}
+      exclusion_(options.exclusion) {}
 
 void RotationPolicy::OnRequest(std::size_t bytes, Millis now) {
   arrivals_.push_back({now, bytes});
@@ -30,17 +28,8 @@
     return false;
   }
   const double utilization = BytesPerSecond(now) / link_bytes_per_s_;
-  const bool is_full = is_full_ ? utilization >= options_.return_utilization ||
-                                      now < changed_at_ + exclusion_
-                                : utilization > options_.leave_utilization;
-  if (is_full != is_full_) {
-    is_full_ = is_full;
-    changed_at_ = now;
-    if (!is_full) {
-      exclusion_ = std::min(2 * exclusion_, options_.max_exclusion);
-    }
-  }
-  return is_full_;
+  return exclusion_.Update(utilization > options_.leave_utilization,
+                           utilization < options_.return_utilization, now);
 }
 
 }  // namespace crocuslatch
--- a/core/rotation.h
+++ b/core/rotation.h
@@ -3,6 +3,7 @@
 
 #include <deque>
 
+#include "core/exclusion.h"
 #include "src/types.h"
 
 // Defines when a host leaves the balancer's rotation because its link is full.
@@ -25,11 +26,9 @@
   double leave_utilization = 0.4;
   double return_utilization = 0.2;
   // Minimum time out of rotation; the balancer needs two probes to notice a
-  // change. It doubles each time, because the hash assigns the same callers
-  // to the host again: with 4 s, one host of 67 was saturated four times in
-  // 30 s.
-  Millis initial_exclusion{8000};
-  Millis max_exclusion{60000};
+  // change. It doubles each time, because the hash assigns the same callers to
+  // the host again.
+  ExclusionOptions exclusion;
 };
 
 class RotationPolicy {
@@ -55,10 +54,7 @@
   const double link_bytes_per_s_;
   std::deque<Arrival> arrivals_;
   std::size_t window_bytes_ = 0;
-  bool is_full_ = false;
-  Millis changed_at_{0};
-  // Minimum time out of rotation, current or next.
-  Millis exclusion_;
+  Exclusion exclusion_;
 };
 
 }  // namespace crocuslatch
--- a/io/http_client.cc
+++ b/io/http_client.cc
@@ -25,7 +25,12 @@
 
 // Limit for collected responses. The platform's values are at most 1 MB, so a
 // longer response is an error.
-constexpr std::size_t kMaxCollectedBytes = 32 << 20;
+constexpr std::size_t kMaxCollectedBytes = 8 << 20;
+
+// Limit for received bytes that the parser cannot consume yet: an incomplete
+// line of a head, a chunk header or a trailer. A faulty server may send such a
+// line without end.
+constexpr std::size_t kMaxUnparsedBytes = 64 << 10;
 
 // Maximum number of idle connections per server; the least recently used
 // ones beyond it are closed.
@@ -107,6 +112,8 @@
       return "broken";
     case HttpResult::kTimedOut:
       return "timed_out";
+    case HttpResult::kTooLarge:
+      return "too_large";
     case HttpResult::kCancelled:
       return "cancelled";
   }
@@ -163,6 +170,9 @@
     request_bytes_ = Serialize(request, target);
     first_byte_timeout_ = request.first_byte_timeout;
     stall_timeout_ = request.stall_timeout;
+    total_deadline_ = request.total_timeout.count() > 0
+                          ? std::optional(SteadyNow() + request.total_timeout)
+                          : std::nullopt;
     is_reusable_ = true;
     is_sent_ = false;
     has_response_ = false;
@@ -250,13 +260,19 @@
     is_in_grace_ = false;
     last_activity_ = SteadyNow();
     timeout_ = timeout;
-    timer_.start(timeout);
+    timer_.start(std::max(Millis{0}, TimeLeft()));
+  }
+
+  // Time until the next timeout; not positive if one has expired.
+  Millis TimeLeft() const {
+    const Millis now = SteadyNow();
+    const Millis left = last_activity_ + timeout_ - now;
+    return total_deadline_ ? std::min(left, *total_deadline_ - now) : left;
   }
 
   void OnTimer() {
-    const Millis elapsed = SteadyNow() - last_activity_;
-    if (elapsed < timeout_) {
-      timer_.start(timeout_ - elapsed);
+    if (const Millis left = TimeLeft(); left > Millis{0}) {
+      timer_.start(left);
       return;
     }
     if (!is_in_grace_) {
@@ -321,6 +337,11 @@
     while (call_) {
       const auto result = parser_->Parse(buffer_);
       buffer_.erase(0, result.used);
+      if (result.state == ParseState::kHeaderTooLarge ||
+          buffer_.size() > kMaxUnparsedBytes) {
+        Finish(HttpResult::kTooLarge);
+        return;
+      }
       if (result.state == ParseState::kNeedsMore) {
         return;
       }
@@ -381,6 +402,7 @@
                       idle_time_.count() > 0 && socket_.is_connected();
     if (keep) {
       idle_until_ = SteadyNow() + idle_time_;
+      total_deadline_.reset();
       StartTimer(idle_time_);
       pool_->KeepIdle(this);
     } else {
@@ -417,6 +439,7 @@
   Millis stall_timeout_{0};
   Millis timeout_{0};
   Millis last_activity_{0};
+  std::optional<Millis> total_deadline_;
   Millis idle_time_{0};
   Millis idle_until_{0};
   bool is_sent_ = false;
@@ -541,7 +564,7 @@
   };
   hooks.on_end = [collected, callback = std::move(callback)](HttpResult end) {
     if (collected->is_too_long) {
-      end = HttpResult::kBroken;
+      end = HttpResult::kTooLarge;
     }
     const bool is_complete = end == HttpResult::kComplete;
     callback(end, is_complete ? collected->status : 0, collected->headers,
--- a/io/http_client.h
+++ b/io/http_client.h
@@ -26,6 +26,8 @@
   Millis first_byte_timeout{5000};
   // Maximum time without data after the first byte.
   Millis stall_timeout{2000};
+  // Maximum time from the start to the end of the response; 0 means no limit.
+  Millis total_timeout{0};
 };
 
 // How a request ended.
@@ -38,8 +40,10 @@
   // The connection broke or an invalid response arrived after the request may
   // have been delivered.
   kBroken,
-  // The first byte or further data did not arrive in time.
+  // The first byte, further data or the end did not arrive in time.
   kTimedOut,
+  // The response exceeds a size limit. The request may have been executed.
+  kTooLarge,
   // Cancelled, or withdrawn without a response.
   kCancelled,
 };
--- a/io/http_parser.cc
+++ b/io/http_parser.cc
@@ -14,9 +14,9 @@
 namespace http = boost::beast::http;
 using ErrorCode = beast::error_code;
 
-// Limit for the headers of a response. Bodies are not limited here: the
-// platform's values have at most 1 MB in base64, and a range response about
-// 1 MB of items.
+// Limit for the headers of a response, and for all interim responses before it
+// together. Bodies are not limited here: the platform's values have at most
+// 1 MB in base64, and a range response about 1 MB of items.
 constexpr std::size_t kMaxResponseHeaderBytes = 64 << 10;
 constexpr int kFirstFinalStatus = 200;
 
@@ -225,6 +225,11 @@
     if (result.state != ParseState::kDone || !impl_->is_interim()) {
       return total;
     }
+    interim_bytes_ += result.used;
+    if (interim_bytes_ > kMaxResponseHeaderBytes) {
+      total.state = ParseState::kHeaderTooLarge;
+      return total;
+    }
     impl_ = std::make_unique<Impl>(has_no_body_, &hooks_);
   }
 }
--- a/io/http_parser.h
+++ b/io/http_parser.h
@@ -91,6 +91,8 @@
   class Impl;
   bool has_no_body_;
   HttpResponseHooks hooks_;
+  // Bytes of the interim responses so far.
+  std::size_t interim_bytes_ = 0;
   std::unique_ptr<Impl> impl_;
 };
 
--- a/io/http_server.cc
+++ b/io/http_server.cc
@@ -42,6 +42,12 @@
 // response.
 constexpr Millis kCloseTimeout{2000};
 
+// Time from the end of listening until idle connections are closed: a request
+// that was sent on a connection before it was accepted has arrived by then.
+constexpr Millis kStopReadTime{100};
+
+constexpr int kBadGateway = 502;
+
 // Maximum interval between timeout checks, and the number of checks within the
 // shortest timeout.
 constexpr Millis kMaxSweepInterval{250};
@@ -179,8 +185,7 @@
 // A caller's connection; handles one request at a time.
 class CallerConnection : public QObject {
  public:
-  using OnRequest =
-      std::function<void(CallerConnection&, const IncomingRequest&)>;
+  using OnRequest = std::function<void(CallerConnection&, IncomingRequest)>;
 
   CallerConnection(qintptr descriptor,
                    const HttpLimits* limits,
@@ -203,12 +208,14 @@
   bool is_valid() const { return is_valid_; }
   bool is_responding() const { return is_responding_; }
   bool is_idle() const {
-    return !is_responding_ && !is_closing_ && buffer_.empty();
+    return !is_responding_ && !is_closing_ && !parser_ && buffer_.empty() &&
+           Peek() == PeekResult::kNothing;
   }
   bool IsConnected() const {
     return !is_closing_ && socket_.state() == QAbstractSocket::ConnectedState;
   }
   qint64 unsent_bytes() const { return socket_.bytesToWrite(); }
+  bool HasEnded() const { return Peek() == PeekResult::kEnded; }
 
   void OnConnectionLost(std::function<void()> hook) {
     on_connection_lost_ = std::move(hook);
@@ -267,6 +274,21 @@
   }
 
  private:
+  enum class PeekResult { kNothing, kBytes, kEnded };
+
+  // Returns what the kernel has received and the event loop has not read yet.
+  PeekResult Peek() const {
+    char byte = 0;
+    const auto n = ::recv(static_cast<int>(socket_.socketDescriptor()), &byte,
+                          1, MSG_PEEK | MSG_DONTWAIT);
+    if (n > 0) {
+      return PeekResult::kBytes;
+    }
+    const bool is_open =
+        n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+    return is_open ? PeekResult::kNothing : PeekResult::kEnded;
+  }
+
   void ShutDownWhenSent() {
     if (socket_.bytesToWrite() == 0) {
       ::shutdown(static_cast<int>(socket_.socketDescriptor()), SHUT_WR);
@@ -310,6 +332,11 @@
     }
     switch (result.state) {
       case ParseState::kNeedsMore:
+        // What the parser cannot consume yet is an incomplete line of the head,
+        // a chunk header or a trailer.
+        if (buffer_.size() > limits_->max_header_bytes) {
+          Reject(HeaderTooLarge(limits_->max_header_bytes));
+        }
         return;
       case ParseState::kDone:
         Handle();
@@ -507,10 +534,15 @@
   return state_ && state_->IsOpen();
 }
 
+bool HttpReply::HasCallerLeft() const {
+  return !IsOpen() || state_->socket->HasEnded();
+}
+
 class HttpServer::Impl {
  public:
   Impl(const HttpServerOptions& options, HttpHandler handler)
       : handler_(std::move(handler)),
+        unread_time_(options.unread_time),
         listener_([this](qintptr it) { Accept(it); }) {
     Descriptor descriptor(OpenListener(options));
     if (!listener_.setSocketDescriptor(descriptor.get())) {
@@ -558,14 +590,28 @@
       }
     }
     listener_.close();
+    // A connection that was accepted just now may hold a request that is not
+    // read yet, so connections are closed only once the event loop has read
+    // what they sent. Connections with a request in progress close after its
+    // response.
+    QTimer::singleShot(kStopReadTime, &sweep_, [this] { CloseIdle(); });
+  }
+
+  // Closes the connections on which no request has begun.
+  void CloseIdle() {
+    for (auto* it : std::set(sockets_)) {
+      if (it->is_idle()) {
+        it->CloseGracefully();
+      }
+    }
   }
 
  private:
   void Accept(qintptr descriptor) {
     auto* socket = new CallerConnection(
         descriptor, &limits_,
-        [this](CallerConnection& it, const auto& request) {
-          Handle(it, request);
+        [this](CallerConnection& it, IncomingRequest request) {
+          Handle(it, std::move(request));
         },
         [this](CallerConnection* it) { sockets_.erase(it); });
     if (!socket->is_valid()) {
@@ -576,7 +622,10 @@
     sockets_.insert(socket);
   }
 
-  void Handle(CallerConnection& socket, const IncomingRequest& request) {
+  void Handle(CallerConnection& socket, IncomingRequest request) {
+    if (unread_time_) {
+      request.unread_time = unread_time_();
+    }
     const auto state = std::make_shared<HttpReply::State>();
     state->server = state_;
     state->socket = &socket;
@@ -587,7 +636,19 @@
     socket.OnConnectionLost([state] { state->OnConnectionLost(); });
     HttpReply reply;
     reply.state_ = state;
-    handler_(request, std::move(reply));
+    try {
+      handler_(request, reply);
+    } catch (const std::exception& error) {
+      LogLine(LogEvent::kUnexpectedError)
+          .Add("message", error.what())
+          .Add("target", request.target);
+      // Has no effect if the response has begun; the caller then sees it end
+      // at its time limit.
+      reply.SendError({kBadGateway, Outcome::kOutcomeUnknown,
+                       "unexpected_error", "the request handler failed",
+                       "the request may have run; check before sending it "
+                       "again"});
+    }
   }
 
   void StartSweep() {
@@ -606,6 +667,7 @@
   }
 
   HttpHandler handler_;
+  std::function<Millis()> unread_time_;
   HttpLimits limits_;
   Listener listener_;
   std::uint16_t port_ = 0;
--- a/io/http_server.h
+++ b/io/http_server.h
@@ -21,6 +21,8 @@
   std::string body;
   // Path and query as sent.
   std::string target;
+  // Longest time that the request can have been waiting before it was read.
+  Millis unread_time{0};
 };
 
 // Sends the response to one request; copies refer to the same response. All
@@ -48,6 +50,9 @@
   // the response.
   void OnDisconnect(std::function<void()> hook);
   bool IsOpen() const;
+  // True if the caller has closed its connection. Queries the kernel, since the
+  // event loop may not have read the end of the connection yet.
+  bool HasCallerLeft() const;
 
  private:
   friend class HttpServer;
@@ -79,6 +84,9 @@
   std::size_t max_body_bytes = 1 << 20;
   // The connection is closed if a request is incomplete after this time.
   Millis request_timeout{10000};
+  // Returns the longest time that data which is read now can have been waiting
+  // unread. May be empty.
+  std::function<Millis()> unread_time;
 };
 
 // Listens on the calling thread. Throws UserError "listen_failed".
@@ -92,8 +100,8 @@
   std::uint16_t port() const;
   // Applies to requests that begin later.
   void SetLimits(const HttpLimits& limits);
-  // Stops accepting connections. Requests in flight continue. Includes
-  // SetKeepAlive(false).
+  // Stops accepting connections and closes the idle ones soon after. Requests
+  // in flight continue. Includes SetKeepAlive(false).
   void StopListening();
   // If false, every connection is closed after the next response that is
   // started on it. New connections are still accepted.
--- a/src/daemon_main.cc
+++ b/src/daemon_main.cc
@@ -15,6 +15,7 @@
 #include "app/front.h"
 #include "io/log_output.h"
 #include "src/error.h"
+#include "src/guarded_application.h"
 #include "src/log.h"
 #include "src/router.h"
 #include "src/settings.h"
@@ -149,7 +150,10 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  QCoreApplication app(argc, argv);
+  // Qt's own event dispatcher costs less processor time per event than the one
+  // that goes through GLib.
+  qputenv("QT_NO_GLIB", "1");
+  crocuslatch::GuardedApplication app(argc, argv);
   const auto description = MakeOptions();
   options::variables_map values;
   try {
--- a/src/http_store.cc
+++ b/src/http_store.cc
@@ -97,6 +97,8 @@
       return "connection refused";
     case HttpResult::kBroken:
       return "connection broken";
+    case HttpResult::kTooLarge:
+      return "answer too large";
     case HttpResult::kTimedOut:
     case HttpResult::kCancelled:
       return "no answer in time";
--- a/src/log.cc
+++ b/src/log.cc
@@ -69,6 +69,7 @@
       {LogEvent::kReadinessChanged, LogLevel::kInfo, "readiness_changed"},
       {LogEvent::kActivity, LogLevel::kInfo, "activity"},
       {LogEvent::kPreviousProcess, LogLevel::kInfo, "previous_process"},
+      {LogEvent::kUnexpectedError, LogLevel::kError, "unexpected_error"},
       {LogEvent::kDocumentInForce, LogLevel::kInfo, "document_in_force"},
       {LogEvent::kDocumentRejected, LogLevel::kWarning, "document_rejected"},
       {LogEvent::kDocumentConflict, LogLevel::kWarning, "document_conflict"},
--- a/src/log.h
+++ b/src/log.h
@@ -34,6 +34,7 @@
   kReadinessChanged = 108,
   kActivity = 109,
   kPreviousProcess = 110,
+  kUnexpectedError = 111,
   kDocumentInForce = 200,
   kDocumentRejected = 201,
   kDocumentConflict = 202,
--- a/tests/error/http_client_test.cc
+++ b/tests/error/http_client_test.cc
@@ -2,47 +2,16 @@
 
 #include <fmt/format.h>
 
-#include <QTcpServer>
-#include <QTcpSocket>
 #include <catch2/catch.hpp>
 #include <map>
 
 #include "io/http_server.h"
+#include "tests/raw_server.h"
 #include "tests/run_until.h"
 
 namespace crocuslatch {
 namespace {
 
-// A server that passes all bytes received on a connection to a hook.
-class RawServer {
- public:
-  using OnBytes = std::function<void(QTcpSocket&, const QByteArray& all)>;
-
-  explicit RawServer(const OnBytes& on_bytes) {
-    server_.listen(QHostAddress::LocalHost);
-    QObject::connect(&server_, &QTcpServer::newConnection, &server_,
-                     [this, on_bytes] {
-                       ++connections;
-                       auto* socket = server_.nextPendingConnection();
-                       const auto all = std::make_shared<QByteArray>();
-                       QObject::connect(socket, &QTcpSocket::readyRead, socket,
-                                        [socket, all, on_bytes] {
-                                          *all += socket->readAll();
-                                          on_bytes(*socket, *all);
-                                        });
-                     });
-  }
-
-  std::string Url() const {
-    return fmt::format("http://127.0.0.1:{}/order", server_.serverPort());
-  }
-
-  int connections = 0;
-
- private:
-  QTcpServer server_;
-};
-
 struct Result {
   bool done = false;
   HttpResult end = HttpResult::kComplete;
--- a/tests/error/http_server_test.cc
+++ b/tests/error/http_server_test.cc
@@ -173,4 +173,42 @@
   CHECK_FALSE(late.waitForConnected(500));
 }
 
+// Guards against callers that keep idle connections open until the process ends
+// and then lose a request that they have just sent.
+TEST_CASE("idle connections are closed soon after StopListening") {
+  HttpServer http_server({}, Echo);
+  QTcpSocket idle;
+  idle.connectToHost("127.0.0.1", http_server.port());
+  REQUIRE(RunUntil([&] { return http_server.open_connections() == 1; }));
+  // Accepted by the kernel only, with a request on it.
+  QTcpSocket late;
+  late.connectToHost("127.0.0.1", http_server.port());
+  REQUIRE(late.waitForConnected(1000));
+  late.write("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  late.waitForBytesWritten(1000);
+  http_server.StopListening();
+  std::string got;
+  CHECK(RunUntil([&] {
+    got += late.readAll().toStdString();
+    return late.state() == QAbstractSocket::UnconnectedState;
+  }));
+  CHECK(got.ends_with("GET/a"));
+  CHECK(RunUntil(
+      [&] { return idle.state() == QAbstractSocket::UnconnectedState; }));
+  CHECK(RunUntil([&] { return http_server.open_connections() == 0; }));
+}
+
+// Guards against a caller whose request line never ends.
+TEST_CASE("a chunk header without end is rejected") {
+  HttpServer http_server(
+      {.max_body_bytes = 1000, .request_timeout = Millis{5000}}, Echo);
+  const auto got = Exchange(
+      http_server.port(),
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1;x=" +
+          std::string(200'000, 'a'),
+      Never);
+  CHECK(got.starts_with("HTTP/1.1 4"));
+  CHECK(IsServing(http_server));
+}
+
 }  // namespace crocuslatch
--- /dev/null
+++ b/tests/error/server_trouble_test.cc
@@ -0,0 +1,365 @@
+#include <sys/socket.h>
+
+#include <QTimer>
+#include <catch2/catch.hpp>
+
+#include "src/guarded_application.h"
+#include "tests/forwarding_fixture.h"
+#include "tests/raw_server.h"
+
+// Failures of backend servers that operators of similar systems have reported,
+// provoked between a real caller and a server that writes raw bytes.
+
+namespace crocuslatch {
+namespace {
+
+const std::string kAnswerHead =
+    "HTTP/1.1 200 OK\r\nCrocuslatch-Request-Id: r1\r\n"
+    "Crocuslatch-Replica-Seal: s\r\n";
+
+// The request path in front of one raw server.
+struct RawFixture : ForwardingFixture {
+  explicit RawFixture(const RawServer::OnBytes& on_bytes) : raw(on_bytes) {
+    placement.SetServers({{.id = "i-raw",
+                           .service = "s",
+                           .address = fmt::format("127.0.0.1:{}", raw.port()),
+                           .failure_domain = "a",
+                           .slots = 8}},
+                         Millis{0});
+    context->retry_budget = &no_retries;
+  }
+
+  // Sends the request and returns how it ended for the caller.
+  struct Ending {
+    HttpResult end = HttpResult::kComplete;
+    int status = 0;
+    std::string body;
+    Millis took{0};
+  };
+  Ending SendAndWaitForEnd(const HttpRequest& request) {
+    std::optional<Ending> ending;
+    const Millis begin = context->loop.now();
+    std::string received;
+    int status_seen = 0;
+    caller.Send(
+        request,
+        {.on_headers = [&](int status,
+                           const HttpHeaders&) { status_seen = status; },
+         .on_data = [&](std::string_view it) { received += it; },
+         .on_end =
+             [&](HttpResult it) {
+               ending = Ending{it, status_seen, received,
+                               context->loop.now() - begin};
+             }});
+    REQUIRE(RunUntil([&] { return ending.has_value(); }, Millis{20000}));
+    return *ending;
+  }
+
+  RawServer raw;
+  RetryBudget no_retries{{.ratio = 0, .slack = 0}};
+};
+
+bool HasRequest(const QByteArray& all) {
+  return all.contains("\r\n\r\n");
+}
+
+// Writes `first` and then `rest` again and again until the caller closes.
+void WriteWithoutEnd(QTcpSocket& socket,
+                     const std::string& first,
+                     const std::string& rest) {
+  socket.write(first.data(), static_cast<qint64>(first.size()));
+  auto* timer = new QTimer(&socket);
+  QObject::connect(timer, &QTimer::timeout, &socket, [&socket, rest] {
+    constexpr qint64 kMaxQueued = 1 << 20;
+    while (socket.state() == QAbstractSocket::ConnectedState &&
+           socket.bytesToWrite() < kMaxQueued) {
+      socket.write(rest.data(), static_cast<qint64>(rest.size()));
+    }
+  });
+  timer->start(1);
+}
+
+// A time in which every limit is reached on loopback, and which is shorter than
+// the time limits of the requests.
+constexpr Millis kSoon{1500};
+
+}  // namespace
+
+// A server sends a second copy of an answer when the connection is in use
+// again.
+TEST_CASE("a second copy of an answer never reaches the next caller") {
+  const bool is_early = GENERATE(true, false);
+  int requests = 0;
+  RawFixture it([&](QTcpSocket& socket, const QByteArray& all) {
+    if (all.count("\r\n\r\n") <= requests) {
+      return;
+    }
+    ++requests;
+    const auto answer = [](const char* id, const char* body) {
+      return fmt::format(
+          "HTTP/1.1 200 OK\r\nCrocuslatch-Request-Id: {}\r\n"
+          "Crocuslatch-Replica-Seal: s\r\nContent-Length: 3\r\n\r\n{}",
+          id, body);
+    };
+    std::string bytes = answer("r1", "one");
+    if (requests == 1 && is_early) {
+      // Arrives on the idle connection.
+      QTimer::singleShot(20, &socket, [&socket, bytes] {
+        socket.write(bytes.data(), static_cast<qint64>(bytes.size()));
+      });
+    } else if (requests > 1 && !is_early) {
+      // Arrives after the next request was sent.
+      bytes += answer("r2", "two");
+    } else if (requests > 1) {
+      bytes = answer("r2", "two");
+    }
+    socket.write(bytes.data(), static_cast<qint64>(bytes.size()));
+  });
+  auto request = it.Request("GET", "/safe/1");
+  CHECK(it.SendAndWait(request).body == "one");
+  RunFor(Millis{is_early ? 60 : 5});
+  if (is_early) {
+    // The copy arrived on an idle connection, which is not used again.
+    requests = 0;
+    const auto second = it.SendAndWait(request);
+    CHECK(second.body == "one");
+    CHECK(it.raw.connections == 2);
+    return;
+  }
+  request.headers[1].second = "r2";
+  const auto second = it.SendAndWait(request);
+  CHECK(second.status == 200);
+  CHECK(second.body == "two");
+}
+
+// Guards against running an order twice: a late second refusal of an earlier
+// request says nothing about the order that is running.
+TEST_CASE("a refusal without an id on a reused connection is not trusted") {
+  int requests = 0;
+  RawFixture it([&](QTcpSocket& socket, const QByteArray& all) {
+    if (all.count("\r\n\r\n") <= requests) {
+      return;
+    }
+    const std::string bytes =
+        ++requests == 1 ? kAnswerHead + "Content-Length: 3\r\n\r\none"
+                        : "HTTP/1.1 503 Busy\r\nCrocuslatch-Not-Executed: 1\r\n"
+                          "Content-Length: 0\r\n\r\n";
+    socket.write(bytes.data(), static_cast<qint64>(bytes.size()));
+  });
+  CHECK(it.SendAndWait(it.Request("GET", "/order/1")).status == 200);
+  const auto second = it.SendAndWait(it.Request("GET", "/order/2"));
+  CHECK(second.status == 502);
+  CHECK(second.body.find("outcome_unknown") != std::string::npos);
+}
+
+TEST_CASE("an answer that breaks off halfway is never a complete success") {
+  const auto [bytes, is_reset] = GENERATE(table<std::string, bool>(
+      {{"Content-Length: 100\r\n\r\nhalf", false},
+       {"Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n", false},
+       {"Connection: close\r\n\r\nhalf", true}}));
+  const auto target = GENERATE(as<std::string>(), "/order/1", "/stream/1");
+  RawFixture it([&, bytes = bytes, is_reset = is_reset](QTcpSocket& socket,
+                                                        const QByteArray& all) {
+    if (!HasRequest(all)) {
+      return;
+    }
+    const std::string answer = kAnswerHead + bytes;
+    socket.write(answer.data(), static_cast<qint64>(answer.size()));
+    socket.flush();
+    QTimer::singleShot(30, &socket, [&socket, is_reset] {
+      const linger hard{1, 0};
+      if (is_reset) {
+        ::setsockopt(static_cast<int>(socket.socketDescriptor()), SOL_SOCKET,
+                     SO_LINGER, &hard, sizeof hard);
+      }
+      is_reset ? socket.abort() : socket.disconnectFromHost();
+    });
+  });
+  const auto ending = it.SendAndWaitForEnd(it.Request("GET", target));
+  INFO(bytes << " " << target);
+  CHECK((ending.end != HttpResult::kComplete || ending.status == 502));
+  CHECK(ending.body.find("half") == std::string::npos);
+}
+
+TEST_CASE("a stream that breaks off after an event ends as incomplete") {
+  RawFixture it([&](QTcpSocket& socket, const QByteArray& all) {
+    if (HasRequest(all)) {
+      const std::string answer = kAnswerHead +
+                                 "Transfer-Encoding: chunked\r\n\r\n"
+                                 "11\r\nid: 1\ndata: xyz\n\n\r\n";
+      socket.write(answer.data(), static_cast<qint64>(answer.size()));
+      QTimer::singleShot(50, &socket,
+                         [&socket] { socket.disconnectFromHost(); });
+    }
+  });
+  const auto ending = it.SendAndWaitForEnd(it.Request("GET", "/stream/1"));
+  CHECK(ending.end == HttpResult::kBroken);
+  CHECK(ending.status == 200);
+}
+
+// A troubled server sends bytes until the router closes. Each limit ends the
+// connection, frees the memory, and gives the caller a truthful answer.
+TEST_CASE("bytes without end in an answer end the connection") {
+  const auto [first, rest,
+              target] = GENERATE(table<std::string, std::string, std::string>({
+      // In a header line, in the number of headers, in interim heads, and in
+      // bytes that are no HTTP.
+      {kAnswerHead + "X-A: ", std::string(1000, 'a'), "/order/1"},
+      {kAnswerHead, "X-A: 1\r\n", "/order/1"},
+      {"", "HTTP/1.1 102 Processing\r\nX-A: 1\r\n\r\n", "/order/1"},
+      {"", std::string(1000, 'z'), "/order/1"},
+      // In a body without length, in a chunked one, and in a chunk header.
+      {kAnswerHead + "Connection: close\r\n\r\n", std::string(1000, 'b'),
+       "/order/1"},
+      {kAnswerHead + "Transfer-Encoding: chunked\r\n\r\n",
+       "3e8\r\n" + std::string(1000, 'c') + "\r\n", "/order/1"},
+      {kAnswerHead + "Transfer-Encoding: chunked\r\n\r\n1;x=",
+       std::string(1000, 'e'), "/order/1"},
+      // In a trailer, and in a stream without a complete event.
+      {kAnswerHead + "Transfer-Encoding: chunked\r\n\r\n0\r\nX-T: ",
+       std::string(1000, 't'), "/order/1"},
+      {kAnswerHead + "Connection: close\r\n\r\ndata: ", std::string(1000, 'd'),
+       "/stream/1"},
+  }));
+  INFO(first.substr(first.size() > 40 ? first.size() - 40 : 0)
+       << " " << target);
+  RawFixture it(
+      [first = first, rest = rest](QTcpSocket& socket, const QByteArray& all) {
+        if (HasRequest(all)) {
+          WriteWithoutEnd(socket, first, rest);
+        }
+      });
+  auto request = it.Request("GET", target);
+  const auto ending = it.SendAndWaitForEnd(request);
+  CHECK(ending.took < kSoon);
+  CHECK(ending.status == 502);
+  CHECK(ending.body.find("outcome_unknown") != std::string::npos);
+  CHECK(ending.body.find("not_run") == std::string::npos);
+  CHECK(RunUntil([&] { return it.raw.open_connections == 0; }));
+  CHECK(it.client.open_connections() == 0);
+}
+
+TEST_CASE("an answer beyond the size limit is a failure and not cut") {
+  ForwardingFixture it;
+  it.context->limits.max_buffered_bytes = 1000;
+  const std::size_t size = GENERATE(1000, 1001);
+  it.respond = [size](const IncomingRequest&, HttpReply reply) {
+    reply.SendResponse(200, ForwardingFixture::Sealed(),
+                       std::string(size, 'x'));
+  };
+  const auto answer = it.SendAndWait(it.Request("POST", "/order/1"));
+  CHECK(answer.status == (size <= 1000 ? 200 : 502));
+}
+
+// A stalled server keeps its stream alive with bytes that complete no event.
+TEST_CASE("a stalled stream that sends a byte now and then ends") {
+  RawFixture it([](QTcpSocket& socket, const QByteArray& all) {
+    if (!HasRequest(all)) {
+      return;
+    }
+    const std::string answer =
+        kAnswerHead + "Connection: close\r\n\r\nid: 1\ndata: x\n\n";
+    socket.write(answer.data(), static_cast<qint64>(answer.size()));
+    auto* timer = new QTimer(&socket);
+    QObject::connect(timer, &QTimer::timeout, &socket,
+                     [&socket] { socket.write(":"); });
+    timer->start(50);
+  });
+  it.context->limits.min_stream_patience = Millis{400};
+  const auto ending = it.SendAndWaitForEnd(it.Request("GET", "/stream/1"));
+  CHECK(ending.end == HttpResult::kBroken);
+  CHECK(ending.took >= Millis{400});
+  CHECK(ending.took < kSoon);
+  CHECK(RunUntil([&] { return it.raw.open_connections == 0; }));
+}
+
+// Callers of a route with slow events wait longer than those of others.
+TEST_CASE("a slow but sound stream is not cut") {
+  RouteSpec route;
+  route.target_latency = Millis{500};
+  route.max_event_gap = Millis{800};
+  CHECK(StreamPatience(route, Millis{2000}) == Millis{6400});
+  ForwardingFixture it;
+  it.context->limits.min_stream_patience = Millis{100};
+  auto state = it.table->state();
+  state.routes[2].max_event_gap = Millis{60};
+  it.table = std::make_shared<RoutingTable>(state);
+  it.respond = [](const IncomingRequest&, HttpReply reply) {
+    auto headers = ForwardingFixture::Sealed();
+    reply.StartStream(200, headers);
+    for (int i = 1; i <= 3; ++i) {
+      QTimer::singleShot(350 * i, [reply, i]() mutable {
+        reply.Write(fmt::format("id: {}\ndata: x\n\n", i));
+        if (i == 3) {
+          reply.EndStream();
+        }
+      });
+    }
+  };
+  const auto answer = it.SendAndWait(it.Request("POST", "/stream/1"));
+  CHECK(answer.status == 200);
+  CHECK(answer.body.find("id: 3") != std::string::npos);
+}
+
+// Guards against one unexpected error that ends all requests of a host.
+TEST_CASE("an exception in an event handler does not end the process") {
+  QTimer::singleShot(0, [] { throw std::runtime_error("unexpected"); });
+  RunFor(Millis{20});
+  HttpServer server({}, [](const IncomingRequest&, const HttpReply&) {
+    throw std::runtime_error("unexpected");
+  });
+  HttpClient client;
+  std::optional<int> status;
+  client.SendAndCollect(
+      {.method = "GET",
+       .url = fmt::format("http://127.0.0.1:{}/", server.port())},
+      [&](HttpResult, int it, const HttpHeaders&, const std::string&) {
+        status = it;
+      });
+  REQUIRE(RunUntil([&] { return status.has_value(); }));
+  CHECK(*status == 502);
+}
+
+// Guards against a request that runs for a caller who left while the host was
+// too busy to read (simulation seed 1017222566743 of the further site).
+TEST_CASE("a request whose caller has left unread is not dispatched") {
+  ForwardingFixture it;
+  std::function<void(ReserveStatus)> on_reserved;
+  it.context->reserve = [&](const auto&, Tokens, Millis, const auto& callback) {
+    on_reserved = callback;
+  };
+  auto call = it.caller.Send(it.Request("POST", "/stream/1"), {});
+  REQUIRE(RunUntil([&] { return on_reserved != nullptr; }));
+  // The end of the connection arrives, but the loop does not read it before the
+  // reservation is confirmed.
+  call.Cancel();
+  on_reserved(ReserveStatus::kReserved);
+  RunFor(Millis{50});
+  CHECK(it.received.empty());
+  CHECK(it.charges.settlements == 1);
+  CHECK(it.charges.used == 0);
+}
+
+TEST_CASE("the time that a request waited unread counts against its limit") {
+  ForwardingFixture it;
+  Millis unread{300};
+  HttpServer front({.unread_time = [&] { return unread; }},
+                   [&](const IncomingRequest& request, HttpReply reply) {
+                     ForwardRequest(it.context, request, std::move(reply));
+                   });
+  auto request = it.Request("POST", "/order/1");
+  request.url = fmt::format("http://127.0.0.1:{}/order/1", front.port());
+  request.headers.push_back({"Crocuslatch-Request-Deadline", "1000"});
+  CHECK(it.SendAndWait(request).status == 200);
+  const auto left = std::stoi(std::string(
+      FindHeader(it.received[0].headers, "Crocuslatch-Request-Deadline")));
+  CHECK(left <= 700);
+  // A request whose time may be over is refused at once as not run.
+  unread = Millis{1300};
+  const auto answer = it.SendAndWait(request);
+  CHECK(answer.status == 503);
+  CHECK(answer.body.find("read_late") != std::string::npos);
+  CHECK(it.received.size() == 1);
+}
+
+}  // namespace crocuslatch
--- a/tests/test_main.cc
+++ b/tests/test_main.cc
@@ -1,8 +1,9 @@
 #define CATCH_CONFIG_RUNNER
-#include <QCoreApplication>
 #include <catch2/catch.hpp>
 
+#include "src/guarded_application.h"
+
 int main(int argc, char** argv) {
-  QCoreApplication app(argc, argv);
+  crocuslatch::GuardedApplication app(argc, argv);
   return Catch::Session().run(argc, argv);
 }
