Hold the tokens of an account at one host, and share watches and stamps (large fleets)

Stamps wait up to 350 ms for a transaction. At most eight ledger writers. The registry is read every 0.4 of drain_ms and shared for 0.2; watches last 0.45 of config_apply_ms.

--- a/app/forwarding.cc
+++ b/app/forwarding.cc
@@ -174,13 +174,27 @@
     }
     const Tokens amount =
         caller_.work->prompt_tokens + caller_.work->max_output_tokens;
-    context_->reserve(account_->name, amount, kReserveTimeout,
-                      [self = shared_from_this(), amount](ReserveStatus it) {
-                        self->OnReservation(it, amount);
-                      });
+    context_->reserve_at_home(
+        account_->name, amount,
+        [self = shared_from_this(), amount](const HomeReservation& it) {
+          self->OnHomeReservation(it, amount);
+        });
     return true;
   }
 
+  void OnHomeReservation(const HomeReservation& reservation, Tokens amount) {
+    if (reservation.loan || is_done_) {
+      OnLoan(reservation.loan, ReserveStatus::kReserved, amount);
+    } else if (reservation.is_exhausted) {
+      FailReservation(ReserveStatus::kInsufficient, amount);
+    } else {
+      context_->reserve(account_->name, amount, kReserveTimeout,
+                        [self = shared_from_this(), amount](ReserveStatus it) {
+                          self->OnReservation(it, amount);
+                        });
+    }
+  }
+
   void OnReservation(ReserveStatus status, Tokens amount) {
     if (status == ReserveStatus::kReserved) {
       reserved_tokens_ = amount;
--- a/app/forwarding.h
+++ b/app/forwarding.h
@@ -52,6 +52,12 @@
                      Millis wait,
                      std::function<void(ReserveStatus)>)>
       reserve;
+  // Reserves tokens at the account's home host; see core/budget_homes.h. The
+  // result is empty if this host has to reserve them itself.
+  std::function<void(const std::string& account,
+                     Tokens amount,
+                     std::function<void(const HomeReservation&)>)>
+      reserve_at_home;
   // Borrows tokens of a client account from other hosts; see TokenLoans.
   std::function<void(const std::string& account,
                      Tokens amount,
--- a/app/front.cc
+++ b/app/front.cc
@@ -18,6 +18,7 @@
 #include "app/stamp_writer.h"
 #include "app/token_loans.h"
 #include "app/write_batching.h"
+#include "core/budget_homes.h"
 #include "core/ledger_writers.h"
 #include "core/loop_lag.h"
 #include "core/planned_stop.h"
@@ -80,7 +81,19 @@
 constexpr Millis kPeerConnectTimeout{300};
 // Fraction of the drain bound after which the registry of servers is read
 // again. A read that fails is repeated within the other half.
-constexpr double kRegistryPeriodFraction = 0.45;
+constexpr double kRegistryPeriodFraction = 0.4;
+// Fraction of the drain bound within which hosts share one read of the
+// registry.
+constexpr double kSharedReadFraction = 0.2;
+// Fraction of the bound on new desired states that one watch lasts: a host
+// whose connection went silent notices and reads again within the rest.
+constexpr double kWatchFraction = 0.45;
+// Least number of hosts of a failure domain that share their calls to the store
+// among themselves. Smaller domains share them with the whole fleet.
+constexpr std::size_t kMinDomainHosts = 8;
+// Time for which exchanges that no request waits for are held back, so that
+// those of many hosts share one write of a shard.
+constexpr Millis kRoutineBatchDelay{30};
 // Number of ledger shards. Callers of an account stay with a few hosts, so two
 // hosts rarely write the shard of a single account at once. With 2 shards for
 // 10 accounts, nearly every second write lost to another host's.
@@ -128,6 +141,11 @@
   return QRandomGenerator::global()->generateDouble();
 }
 
+Millis Fraction(double fraction, Millis bound) {
+  return Millis{
+      static_cast<Millis::rep>(fraction * static_cast<double>(bound.count()))};
+}
+
 EventLoop MakeFrontLoop() {
   auto loop = MakeQtEventLoop();
   loop.now = &BootNow;
@@ -146,7 +164,13 @@
   explicit Core(const FrontSettings& settings)
       : settings(settings),
         loop(MakeFrontLoop()),
-        relayed_store({}, MakeDirectStore(), loop, MakeRelayedStoreHooks()),
+        relayed_store(
+            {.shared_read_ttl = Fraction(kSharedReadFraction, settings.drain),
+             .shared_watch_wait =
+                 Fraction(kWatchFraction, settings.config_apply)},
+            MakeDirectStore(),
+            loop,
+            MakeRelayedStoreHooks()),
         store(relayed_store.store()),
         aggregated_store(MakeAggregatedStore()),
         ledger_writers({}, {settings.host_name, OwnLinkMbps()}),
@@ -201,7 +225,7 @@
 
   Store MakeDirectStore() {
     return BatchWrites(
-        {},
+        {.deferrable_prefix = std::string(kHostsPrefix)},
         platform::MakeKvStore(
             {.address = settings.store_address,
              .on_call_end =
@@ -218,15 +242,35 @@
     return static_cast<std::int64_t>(settings.link_mbps);
   }
 
-  // Hosts to ask to write the shard, best first.
-  std::vector<std::string> PreferredWriters(std::uint32_t shard) const {
+  std::vector<WriterCandidate> OtherHosts() const {
     std::vector<WriterCandidate> candidates;
     if (peer_network) {
       for (const auto& it : hosts->OtherHosts()) {
         candidates.push_back({it, hosts->LinkMbps(it)});
       }
     }
-    return ledger_writers.RankWriters(shard, candidates, loop.now());
+    return candidates;
+  }
+
+  // Hosts to ask to write the shard, best first.
+  std::vector<std::string> PreferredWriters(std::uint32_t shard) const {
+    return ledger_writers.RankWriters(shard, OtherHosts(), loop.now());
+  }
+
+  // Reserves at the account's home host unless this host holds enough tokens.
+  void ReserveAtHome(const std::string& account,
+                     Tokens amount,
+                     std::function<void(const HomeReservation&)> callback) {
+    if (!token_loans || grants->GetBudgetView(account).usable >= amount) {
+      callback({});
+      return;
+    }
+    const auto others = OtherHosts();
+    auto homes =
+        RankBudgetHomes({}, account, {settings.host_name, OwnLinkMbps()},
+                        others, others.size() + 1);
+    token_loans->BorrowFromHome(std::move(homes), account, amount,
+                                std::move(callback));
   }
 
   void SendToWriter(const std::string& host,
@@ -269,16 +313,27 @@
         local_ledger);
   }
 
-  // Routes the stamps and snapshot reads of a group of hosts through one of the
-  // group's ledger writers.
+  // The host that makes this host's stamps, reads and watches of the store
+  // together with those of its failure domain, so that these calls grow with
+  // the number of domains. Empty if it is this host.
+  std::string Aggregator() const {
+    const auto others = OtherHosts();
+    std::vector<WriterCandidate> near;
+    std::ranges::copy_if(others, std::back_inserter(near), [this](auto& it) {
+      return hosts->FailureDomain(it.host) == settings.failure_domain;
+    });
+    const bool is_large = near.size() + 1 >= kMinDomainHosts;
+    constexpr std::uint32_t kOnlyGroup = 0;
+    const auto host =
+        ledger_writers
+            .RankWriters(kOnlyGroup, is_large ? near : others, loop.now())
+            .front();
+    return host == settings.host_name ? std::string() : host;
+  }
+
   Store MakeAggregatedStore() {
     return relayed_store.aggregated_store(
-        [this]() -> std::string {
-          const auto group =
-              static_cast<std::uint32_t>(StableHash(settings.host_name));
-          const auto host = PreferredWriters(group).front();
-          return host == settings.host_name ? std::string() : host;
-        },
+        [this] { return Aggregator(); },
         [this](const std::string& host, bool is_answered, Millis took) {
           OnWriterResponse(host, is_answered, took);
         });
@@ -309,13 +364,14 @@
     StartContext();
     follower = std::make_unique<DesiredStateFollower>(
         DesiredStateFollowerOptions{
-            .key = std::string(platform::kDesiredStateKey)},
-        store, loop, &platform::DecodeDesiredState,
+            .key = std::string(platform::kDesiredStateKey),
+            .watch_timeout = Fraction(kWatchFraction, settings.config_apply)},
+        aggregated_store, loop, &platform::DecodeDesiredState,
         [this](const RoutingTablePointer& it) { OnDesiredState(it); });
     server_registry = std::make_unique<ServerRegistryReader>(
         ServerRegistryReaderOptions{
             .prefix = std::string(platform::kServersPrefix),
-            .poll_period = RegistryPollPeriod()},
+            .poll_period = Fraction(kRegistryPeriodFraction, settings.drain)},
         aggregated_store, loop, &platform::DecodeBackendEntry,
         [this](const auto& it) { placement.SetServers(it, loop.now()); });
     auto caller_options = ListenOptions(settings.caller_address);
@@ -415,11 +471,6 @@
     });
   }
 
-  Millis RegistryPollPeriod() const {
-    return Millis{static_cast<Millis::rep>(
-        kRegistryPeriodFraction * static_cast<double>(settings.drain.count()))};
-  }
-
   void LogActivityLater() {
     loop.after(kActivityLogPeriod, [self = weak_from_this()] {
       if (const auto core = self.lock()) {
@@ -438,7 +489,7 @@
 
   void StartGrants() {
     auto options = MakeShardWriterOptions();
-    options.max_batch_delay = Millis{5};
+    options.max_batch_delay = kRoutineBatchDelay;
     options.retry_max = Millis{150};
     options.refresh_age = Millis{50};
     GrantTableOptions grant_options;
@@ -485,7 +536,8 @@
             .boot_time = BootNow(),
             .wall_time = WallNow(),
             .link_mbps = OwnLinkMbps(),
-            .peer_address = settings.peer_address};
+            .peer_address = settings.peer_address,
+            .failure_domain = settings.failure_domain};
   }
 
   // The hosts' shared secret, by which they authenticate each other, is in the
@@ -576,6 +628,12 @@
                             [this](const std::string& budget, Tokens reserved,
                                    Tokens used) {
                               context->settle(budget, reserved, used);
+                            },
+                        .reserve_waiting =
+                            [this](const std::string& budget, Tokens amount,
+                                   Millis wait, auto callback) {
+                              grants->Reserve(budget, amount, wait,
+                                              std::move(callback));
                             }});
     relayed_store.SetNetwork(peer_network.get());
     load_broadcast = std::make_unique<LoadBroadcast>(
@@ -622,6 +680,10 @@
                               Millis wait, auto callback) {
       grants->Reserve(account, amount, wait, std::move(callback));
     };
+    context->reserve_at_home = [this](const std::string& account, Tokens amount,
+                                      auto callback) {
+      ReserveAtHome(account, amount, std::move(callback));
+    };
     context->borrow = [this](const std::string& account, Tokens amount,
                              auto callback) {
       if (!token_loans) {
--- a/app/front_settings.cc
+++ b/app/front_settings.cc
@@ -64,6 +64,8 @@
     TomlReader reader(it, "[bounds]", problems);
     ReadSeconds(reader, "grace_s", settings.grace);
     reader.ReadMillis("drain_ms", settings.drain, kMinMillis, kMaxMillis);
+    reader.ReadMillis("config_apply_ms", settings.config_apply, kMinMillis,
+                      kMaxMillis);
     ReadSeconds(reader, "retry_window_s", settings.retry_window);
     reader.ReadNumber("retry_ratio", settings.retry_ratio, 0, 1);
     reader.ReadNumber("retry_slack", settings.retry_slack, 0, kMaxRetrySlack);
--- a/app/front_settings.h
+++ b/app/front_settings.h
@@ -25,6 +25,9 @@
   // A draining backend server gets no new request later than this after it is
   // registered as draining.
   Millis drain{2000};
+  // A new version of the desired state is in force on every host later than
+  // this after it was written.
+  Millis config_apply{2000};
   // The fleet's limit on retries to a service in any window: ratio * requests +
   // slack.
   double retry_ratio = 0.2;
--- a/app/host_directory.cc
+++ b/app/host_directory.cc
@@ -11,6 +11,7 @@
 struct HostDirectory::Core : std::enable_shared_from_this<HostDirectory::Core> {
   struct Host {
     std::string address;
+    std::string failure_domain;
     std::int64_t link_mbps = 0;
     std::uint64_t version = 0;
     Millis changed_at{0};
@@ -61,7 +62,8 @@
     }
     auto& host = hosts[name];
     if (host.version != item.version) {
-      host = {stamp->peer_address, stamp->link_mbps, item.version, loop.now()};
+      host = {stamp->peer_address, stamp->failure_domain, stamp->link_mbps,
+              item.version, loop.now()};
     }
   }
 };
@@ -96,6 +98,11 @@
   return it == core_->hosts.end() ? 0 : it->second.link_mbps;
 }
 
+std::string HostDirectory::FailureDomain(const std::string& host) const {
+  const auto it = core_->hosts.find(host);
+  return it == core_->hosts.end() ? std::string() : it->second.failure_domain;
+}
+
 std::string HostDirectory::PeerAddress(const std::string& host) const {
   const auto it = core_->hosts.find(host);
   return it == core_->hosts.end() ? std::string() : it->second.address;
--- a/app/host_directory.h
+++ b/app/host_directory.h
@@ -35,6 +35,8 @@
   std::vector<std::string> OtherHosts() const;
   // Returns the bandwidth of the host's link in Mbit/s; 0 if unknown.
   std::int64_t LinkMbps(const std::string& host) const;
+  // Returns the host's failure domain; empty if unknown.
+  std::string FailureDomain(const std::string& host) const;
   // Returns the address where the host listens for its peers; empty if unknown.
   std::string PeerAddress(const std::string& host) const;
 
--- a/app/relayed_store.cc
+++ b/app/relayed_store.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "app/peer_order.h"
+#include "app/shared_watch.h"
 #include "src/log.h"
 
 namespace crocuslatch {
@@ -196,6 +197,7 @@
   std::map<std::string, Millis> backoff_until;
   // The last shared read of each prefix.
   std::map<std::string, SharedRead> shared_reads;
+  std::unique_ptr<SharedWatch> shared_watch;
 
   void Start(const Call& call, ResultCallback callback) {
     const auto pending = std::make_shared<PendingCall>();
@@ -226,7 +228,7 @@
                       const OnAggregatorReply& on_reply) {
     const Millis begun = loop.now();
     network->Request(
-        host, PackCall(call), options.aggregator_timeout,
+        host, PackCall(call), AggregatorTimeout(call),
         [self = weak_from_this(), host, call, begun, on_reply,
          callback = std::move(callback)](const wire::Envelope* message) {
           const auto core = self.lock();
@@ -236,7 +238,13 @@
           const auto result = UnpackResult(message);
           const bool is_answered =
               result && result->status != StoreStatus::kUnknown;
-          on_reply(host, is_answered, core->loop.now() - begun);
+          // Deferred writes and watches say nothing about the time of a reply.
+          const bool is_waiting_call = call.kind != wire::StoreCall::ReadAll;
+          if (!is_answered || !is_waiting_call) {
+            on_reply(host, is_answered,
+                     std::min(core->loop.now() - begun,
+                              core->options.aggregator_timeout));
+          }
           if (!is_answered) {
             core->Start(call, callback);
             return;
@@ -246,6 +254,59 @@
         });
   }
 
+  Millis AggregatorTimeout(const Call& call) const {
+    const bool is_write = call.kind == wire::StoreCall::Put;
+    return options.aggregator_timeout + call.wait +
+           (is_write ? options.write_deferral : Millis{0});
+  }
+
+  // Makes a call for this host as its own aggregator, and takes the usual paths
+  // if that fails.
+  void CallAsAggregator(const Call& call, const ResultCallback& callback) {
+    if (is_direct_path_down) {
+      Start(call, callback);
+      return;
+    }
+    ExecuteShared(call, [self = weak_from_this(), call,
+                         callback](const CallResult& result) {
+      const auto core = self.lock();
+      if (!core) {
+        return;
+      }
+      if (result.status == StoreStatus::kUnknown) {
+        core->Start(call, callback);
+        return;
+      }
+      core->hooks.on_store_response();
+      callback(result);
+    });
+  }
+
+  // Makes a call of this host or a peer by the direct path, together with those
+  // of others where possible. Does not relay, since the caller may be the peer
+  // that would be asked.
+  void ExecuteShared(const Call& call, const ResultCallback& callback) {
+    if (call.kind == wire::StoreCall::ReadAll) {
+      ReadShared(call.key, callback);
+      return;
+    }
+    const auto on_result = [self = weak_from_this(),
+                            callback](const CallResult& result) {
+      if (const auto core = self.lock()) {
+        core->SetDirectPathDown(result.status == StoreStatus::kUnknown,
+                                result.error);
+      }
+      callback(result);
+    };
+    if (call.kind == wire::StoreCall::Watch) {
+      shared_watch->Watch(
+          call.key, call.version, call.wait,
+          [callback](const StoreRangeResult& it) { callback(FromRange(it)); });
+      return;
+    }
+    ExecuteCall(direct_store, call, on_result);
+  }
+
   // Reads the prefix once for all callers within a short time.
   void ReadShared(const std::string& prefix, ResultCallback callback) {
     const Millis now = loop.now();
@@ -263,7 +324,6 @@
     }
     shared_read.begun_at = now;
     shared_read.result.reset();
-    // Does not relay, since the caller may be the peer that would be asked.
     ExecuteCall(direct_store, {.kind = wire::StoreCall::ReadAll, .key = prefix},
                 [self = weak_from_this(), prefix](const CallResult& result) {
                   if (const auto core = self.lock()) {
@@ -417,6 +477,9 @@
   core_->direct_store = std::move(direct_store);
   core_->loop = std::move(loop);
   core_->hooks = std::move(hooks);
+  core_->shared_watch = std::make_unique<SharedWatch>(
+      SharedWatchOptions{.wait = options.shared_watch_wait},
+      core_->direct_store, core_->loop);
 }
 
 RelayedStore::~RelayedStore() = default;
@@ -483,42 +546,31 @@
   const auto host_to_ask = [core = core_, aggregator = std::move(aggregator)] {
     return core->network == nullptr ? std::string() : aggregator();
   };
-  Store store = this->store();
-  store.put = [core = core_, plain_put = store.put, host_to_ask, on_reply](
-                  const auto& key, const auto& value, auto expected,
-                  const StoreCallback& callback) {
+  const auto start = [core = core_, host_to_ask, on_reply](
+                         const Call& call, const ResultCallback& callback) {
     const auto host = host_to_ask();
     if (host.empty()) {
-      plain_put(key, value, expected, callback);
-      return;
+      core->CallAsAggregator(call, callback);
+    } else {
+      core->CallAggregator(host, call, callback, on_reply);
     }
-    core->CallAggregator(
-        host, {wire::StoreCall::Put, key, value, expected, Millis{0}},
-        [callback](const CallResult& it) { callback(ToResult(it)); }, on_reply);
   };
-  store.read_all = [core = core_, host_to_ask, on_reply](
-                       const auto& prefix, const StoreRangeCallback& callback) {
-    const auto on_range = [callback](const CallResult& it) {
-      callback(ToRange(it));
-    };
-    const Call call{.kind = wire::StoreCall::ReadAll, .key = prefix};
-    const auto host = host_to_ask();
-    if (!host.empty()) {
-      core->CallAggregator(host, call, on_range, on_reply);
-      return;
-    }
-    if (core->is_direct_path_down) {
-      core->Start(call, on_range);
-      return;
-    }
-    core->ReadShared(prefix, [core, call, on_range](const CallResult& result) {
-      if (result.status == StoreStatus::kUnknown) {
-        core->Start(call, on_range);
-        return;
-      }
-      core->hooks.on_store_response();
-      on_range(result);
-    });
+  using Kind = wire::StoreCall;
+  Store store = this->store();
+  store.put = [start](const auto& key, const auto& value, auto expected,
+                      const StoreCallback& callback) {
+    start({Kind::Put, key, value, expected, Millis{0}},
+          [callback](const CallResult& it) { callback(ToResult(it)); });
+  };
+  store.read_all = [start](const auto& prefix,
+                           const StoreRangeCallback& callback) {
+    start({.kind = Kind::ReadAll, .key = prefix},
+          [callback](const CallResult& it) { callback(ToRange(it)); });
+  };
+  store.watch = [start](const auto& prefix, auto after, Millis wait,
+                        const StoreRangeCallback& callback) {
+    start({.kind = Kind::Watch, .key = prefix, .version = after, .wait = wait},
+          [callback](const CallResult& it) { callback(ToRange(it)); });
   };
   return store;
 }
@@ -537,15 +589,10 @@
   const auto callback = [reply](const CallResult& it) {
     reply(PackResult(it));
   };
-  if (request->call() == wire::StoreCall::ReadAll) {
-    core_->ReadShared(request->key()->str(), callback);
-    return true;
-  }
-  ExecuteCall(core_->direct_store,
-              {request->call(), request->key()->str(),
-               std::string(BytesOf(request->value())), request->version(),
-               Millis{request->wait_ms()}},
-              callback);
+  core_->ExecuteShared({request->call(), request->key()->str(),
+                        std::string(BytesOf(request->value())),
+                        request->version(), Millis{request->wait_ms()}},
+                       callback);
   return true;
 }
 
--- a/app/relayed_store.h
+++ b/app/relayed_store.h
@@ -32,6 +32,10 @@
   // this time. Draining servers must be known within 2 s, and hosts read every
   // 0.9 s.
   Millis shared_read_ttl{250};
+  // Time for which the aggregator may defer a write, and for which it waits in
+  // one watch for all hosts.
+  Millis write_deferral{400};
+  Millis shared_watch_wait{1000};
   // Timeout for a peer's response, in addition to the call's own wait.
   Millis peer_timeout{600};
   // While the direct path is down, it is retried at this period, and the calls
@@ -68,7 +72,7 @@
   // Returns the store to use instead of the direct one.
   Store store();
 
-  // Like store(), but puts and prefix reads first go to the peer that
+  // Like store(), but puts, prefix reads and watches first go to the peer that
   // `aggregator` names, which combines the calls of many hosts; an empty name
   // means the direct path. `on_reply` receives whether that peer responded and
   // the time it took.
--- /dev/null
+++ b/app/shared_watch.cc
@@ -0,0 +1,158 @@
+#include "app/shared_watch.h"
+
+#include <algorithm>
+#include <iterator>
+#include <map>
+#include <utility>
+#include <vector>
+
+namespace crocuslatch {
+
+struct SharedWatch::Core : std::enable_shared_from_this<SharedWatch::Core> {
+  struct Waiter {
+    std::uint64_t id = 0;
+    std::uint64_t after = 0;
+    StoreRangeCallback callback;
+  };
+
+  // The watch of one prefix. It exists while somebody waits.
+  struct Prefix {
+    // All events between these revisions are known.
+    std::uint64_t known_after = 0;
+    std::uint64_t revision = 0;
+    // Newest event of each key.
+    std::map<std::string, StoreItem> newest;
+    std::vector<Waiter> waiters;
+  };
+
+  SharedWatchOptions options;
+  Store store;
+  EventLoop loop;
+  std::map<std::string, Prefix> prefixes;
+  std::uint64_t last_waiter_id = 0;
+
+  static StoreRangeResult EventsAfter(const Prefix& prefix,
+                                      std::uint64_t after) {
+    StoreRangeResult range{.status = StoreStatus::kOk,
+                           .revision = std::max(after, prefix.revision)};
+    for (const auto& [key, item] : prefix.newest) {
+      if (item.version > after) {
+        range.items.push_back(item);
+      }
+    }
+    return range;
+  }
+
+  void Add(const std::string& name,
+           std::uint64_t after,
+           Millis wait,
+           const StoreRangeCallback& callback) {
+    const bool is_new = !prefixes.contains(name);
+    auto& prefix = prefixes[name];
+    if (is_new) {
+      prefix.known_after = after;
+      prefix.revision = after;
+    }
+    if (after < prefix.known_after) {
+      store.watch(name, after, wait, callback);
+      return;
+    }
+    if (auto events = EventsAfter(prefix, after); !events.items.empty()) {
+      loop.post([callback, events = std::move(events)] { callback(events); });
+      return;
+    }
+    const auto id = ++last_waiter_id;
+    prefix.waiters.push_back({id, after, callback});
+    loop.after(wait, [self = weak_from_this(), name, id] {
+      if (const auto core = self.lock()) {
+        core->OnWaitOver(name, id);
+      }
+    });
+    if (is_new) {
+      Run(name);
+    }
+  }
+
+  void OnWaitOver(const std::string& name, std::uint64_t id) {
+    const auto found = prefixes.find(name);
+    if (found == prefixes.end()) {
+      return;
+    }
+    auto& waiters = found->second.waiters;
+    const auto it = std::ranges::find(waiters, id, &Waiter::id);
+    if (it == waiters.end()) {
+      return;
+    }
+    const auto waiter = *it;
+    waiters.erase(it);
+    waiter.callback(EventsAfter(found->second, waiter.after));
+  }
+
+  void Run(const std::string& name) {
+    store.watch(name, prefixes.at(name).revision, options.wait,
+                [self = weak_from_this(), name](const StoreRangeResult& it) {
+                  if (const auto core = self.lock()) {
+                    core->OnResult(name, it);
+                  }
+                });
+  }
+
+  void OnResult(const std::string& name, const StoreRangeResult& range) {
+    auto& prefix = prefixes.at(name);
+    if (range.status != StoreStatus::kOk || prefix.waiters.empty()) {
+      // Without a waiter, the next watch begins at its caller's revision.
+      const auto waiters = std::move(prefix.waiters);
+      prefixes.erase(name);
+      for (const auto& it : waiters) {
+        it.callback(range);
+      }
+      return;
+    }
+    prefix.revision = std::max(prefix.revision, range.revision);
+    for (const auto& it : range.items) {
+      prefix.revision = std::max(prefix.revision, it.version);
+      prefix.newest[it.key] = it;
+    }
+    Answer(name);
+    // An answered caller may have added a waiter; the prefix exists until the
+    // next result in any case.
+    Run(name);
+  }
+
+  // Answers the waiters for which there is an event.
+  void Answer(const std::string& name) {
+    auto& prefix = prefixes.at(name);
+    const auto has_no_event = [&prefix](const Waiter& it) {
+      return EventsAfter(prefix, it.after).items.empty();
+    };
+    const auto split =
+        std::ranges::stable_partition(prefix.waiters, has_no_event).begin();
+    const std::vector<Waiter> ready(
+        std::make_move_iterator(split),
+        std::make_move_iterator(prefix.waiters.end()));
+    prefix.waiters.erase(split, prefix.waiters.end());
+    for (const auto& it : ready) {
+      it.callback(EventsAfter(prefix, it.after));
+    }
+  }
+};
+
+SharedWatch::SharedWatch(SharedWatchOptions options,
+                         Store store,
+                         EventLoop loop)
+    : core_(std::make_shared<Core>()) {
+  core_->options = options;
+  core_->store = std::move(store);
+  core_->loop = std::move(loop);
+}
+
+SharedWatch::~SharedWatch() = default;
+
+void SharedWatch::Watch(const std::string& prefix,
+                        std::uint64_t after,
+                        Millis wait,
+                        const StoreRangeCallback& callback) {
+  core_->Add(prefix, after, wait, callback);
+}
+
+}  // namespace crocuslatch
--- a/app/token_loans.cc
+++ b/app/token_loans.cc
@@ -10,18 +10,22 @@
 namespace crocuslatch {
 namespace {
 
-BodyPacker PackLoanRequest(const std::string& budget, Tokens amount) {
-  return [budget, amount](flatbuffers::FlatBufferBuilder& builder) {
+BodyPacker PackLoanRequest(const std::string& budget,
+                           Tokens amount,
+                           Millis wait) {
+  return [budget, amount, wait](flatbuffers::FlatBufferBuilder& builder) {
     return PackedBody{
         wire::Body::LoanRequest,
-        wire::CreateLoanRequestDirect(builder, budget.c_str(), amount).Union()};
+        wire::CreateLoanRequestDirect(builder, budget.c_str(), amount,
+                                      static_cast<std::uint32_t>(wait.count()))
+            .Union()};
   };
 }
 
-BodyPacker PackLoanReply(std::uint64_t id) {
-  return [id](flatbuffers::FlatBufferBuilder& builder) {
+BodyPacker PackLoanReply(std::uint64_t id, bool is_exhausted = false) {
+  return [id, is_exhausted](flatbuffers::FlatBufferBuilder& builder) {
     return PackedBody{wire::Body::LoanReply,
-                      wire::CreateLoanReply(builder, id).Union()};
+                      wire::CreateLoanReply(builder, id, is_exhausted).Union()};
   };
 }
 
@@ -69,7 +73,7 @@
     const auto host = std::move(peers.back());
     peers.pop_back();
     network->Request(
-        host, PackLoanRequest(budget, amount), options.peer_timeout,
+        host, PackLoanRequest(budget, amount, Millis{0}), options.peer_timeout,
         [self = weak_from_this(), peers = std::move(peers), host, budget,
          amount, callback](const wire::Envelope* message) {
           const auto core = self.lock();
@@ -89,16 +93,93 @@
         });
   }
 
+  void AskNextHome(
+      std::vector<std::string> homes,
+      const std::string& budget,
+      Tokens amount,
+      const std::function<void(const HomeReservation&)>& callback) {
+    const Millis now = loop.now();
+    while (!homes.empty()) {
+      const auto found = backoff_until.find(homes.front());
+      if (found == backoff_until.end() || now >= found->second) {
+        break;
+      }
+      homes.erase(homes.begin());
+    }
+    if (homes.empty()) {
+      callback({});
+      return;
+    }
+    const auto host = homes.front();
+    homes.erase(homes.begin());
+    network->Request(host, PackLoanRequest(budget, amount, options.home_wait),
+                     options.home_timeout,
+                     [self = weak_from_this(), homes = std::move(homes), host,
+                      budget, amount, callback](const wire::Envelope* message) {
+                       const auto core = self.lock();
+                       if (!core) {
+                         return;
+                       }
+                       const auto* reply = message == nullptr
+                                               ? nullptr
+                                               : message->body_as_LoanReply();
+                       if (reply == nullptr) {
+                         core->backoff_until[host] =
+                             core->loop.now() + core->options.peer_backoff;
+                         core->AskNextHome(homes, budget, amount, callback);
+                       } else if (reply->loan() != 0) {
+                         callback({.loan = Loan{host, reply->loan(), amount}});
+                       } else {
+                         callback({.is_exhausted = reply->is_exhausted()});
+                       }
+                     });
+  }
+
   void OnLoanRequest(const std::string& host,
                      const wire::LoanRequest& request,
                      const std::function<void(const BodyPacker&)>& reply) {
     const auto budget = request.budget()->str();
     const Tokens amount = request.amount();
+    if (amount > 0 && request.wait_ms() > 0 && hooks.reserve_waiting) {
+      LendAfterWait(host, budget, amount,
+                    std::min(Millis{request.wait_ms()}, options.home_wait),
+                    reply);
+      return;
+    }
     if (amount <= 0 ||
         !hooks.reserve(budget, amount, options.retained_fraction)) {
       reply(PackLoanReply(0));
       return;
     }
+    Lend(host, budget, amount, reply);
+  }
+
+  void LendAfterWait(const std::string& host,
+                     const std::string& budget,
+                     Tokens amount,
+                     Millis wait,
+                     const std::function<void(const BodyPacker&)>& reply) {
+    hooks.reserve_waiting(
+        budget, amount, wait,
+        [self = weak_from_this(), host, budget, amount,
+         reply](ReserveStatus status) {
+          const auto core = self.lock();
+          if (!core) {
+            return;
+          }
+          if (status == ReserveStatus::kReserved) {
+            core->Lend(host, budget, amount, reply);
+            return;
+          }
+          reply(PackLoanReply(0, status == ReserveStatus::kInsufficient));
+        });
+  }
+
+  // Records the loan of tokens that are reserved, and tells the borrower.
+  void Lend(const std::string& host,
+            const std::string& budget,
+            Tokens amount,
+            const std::function<void(const BodyPacker&)>& reply) {
     const auto id = ++last_loan_id;
     lent_loans.emplace(id, LentLoan{host, budget, amount});
     loop.after(options.loan_timeout, [self = weak_from_this(), id, host] {
@@ -151,6 +232,14 @@
   core_->AskNextPeer(core_->PeersToAsk(), budget, amount, callback);
 }
 
+void TokenLoans::BorrowFromHome(
+    std::vector<std::string> homes,
+    const std::string& budget,
+    Tokens amount,
+    std::function<void(const HomeReservation&)> callback) {
+  core_->AskNextHome(std::move(homes), budget, amount, callback);
+}
+
 void TokenLoans::Repay(const Loan& loan, Tokens used) {
   core_->network->Send(loan.host, PackLoanSettlement(loan.id, used));
 }
--- a/app/token_loans.h
+++ b/app/token_loans.h
@@ -37,6 +37,17 @@
   Millis loan_timeout{60000};
   // Fraction of its spare size that a host does not lend.
   double retained_fraction = 0.1;
+  // Time for which an account's home host may wait for the ledger, and the
+  // timeout for its reply.
+  Millis home_wait{250};
+  Millis home_timeout{350};
+};
+
+// Result of a reservation at an account's home host.
+struct HomeReservation {
+  std::optional<Loan> loan;
+  // The home host knows that the budget does not cover the amount.
+  bool is_exhausted = false;
 };
 
 struct TokenLoansHooks {
@@ -51,6 +62,12 @@
       reserve;
   std::function<void(const std::string& budget, Tokens reserved, Tokens used)>
       settle;
+  // Like `reserve`, but may wait for the ledger, and keeps nothing free.
+  std::function<void(const std::string& budget,
+                     Tokens amount,
+                     Millis wait,
+                     std::function<void(ReserveStatus)>)>
+      reserve_waiting;
 };
 
 class TokenLoans {
@@ -66,6 +83,12 @@
   void Borrow(const std::string& budget,
               Tokens amount,
               const std::function<void(std::optional<Loan>)>& callback);
+  // Asks the account's home hosts one after another; see core/budget_homes.h.
+  // A home that recently did not reply is left out.
+  void BorrowFromHome(std::vector<std::string> homes,
+                      const std::string& budget,
+                      Tokens amount,
+                      std::function<void(const HomeReservation&)> callback);
   // Settles the loan: its request has ended and spent `used` tokens.
   void Repay(const Loan& loan, Tokens used);
 
--- a/app/write_batching.cc
+++ b/app/write_batching.cc
@@ -21,7 +21,7 @@
                std::function<void(const std::vector<StoreWrite>&,
                                   StoreRangeCallback)> put_all,
                EventLoop loop)
-      : options_(options),
+      : options_(std::move(options)),
         put_all_(std::move(put_all)),
         loop_(std::move(loop)) {}
 
@@ -34,26 +34,37 @@
         bytes_ + write.value.size() > options_.max_bytes) {
       Flush();
     }
+    const bool is_urgent = !IsDeferrable(write.key);
     bytes_ += write.value.size();
     batch_.push_back({std::move(write), std::move(callback)});
-    if (batch_.size() == 1) {
-      loop_.after(options_.window,
-                  [self = weak_from_this(), number = batch_number_] {
-                    const auto batcher = self.lock();
-                    if (batcher && batcher->batch_number_ == number) {
-                      batcher->Flush();
-                    }
-                  });
+    if (batch_.size() == 1 || (is_urgent && !is_urgent_)) {
+      is_urgent_ = is_urgent;
+      FlushAfter(is_urgent ? options_.window : options_.deferrable_window);
     }
   }
 
  private:
+  bool IsDeferrable(const std::string& key) const {
+    return !options_.deferrable_prefix.empty() &&
+           key.starts_with(options_.deferrable_prefix);
+  }
+
+  void FlushAfter(Millis delay) {
+    loop_.after(delay, [self = weak_from_this(), number = batch_number_] {
+      const auto batcher = self.lock();
+      if (batcher && batcher->batch_number_ == number) {
+        batcher->Flush();
+      }
+    });
+  }
+
   void Flush() {
     if (batch_.empty()) {
       return;
     }
     ++batch_number_;
     bytes_ = 0;
+    is_urgent_ = false;
     Send(std::make_shared<Batch>(std::exchange(batch_, {})));
   }
 
@@ -112,6 +123,8 @@
   const EventLoop loop_;
   Batch batch_;
   std::size_t bytes_ = 0;
+  // A request may wait for a write of the batch.
+  bool is_urgent_ = false;
   // Number of the current batch, so that its timer does not flush a later one.
   std::uint64_t batch_number_ = 0;
 };
--- a/app/write_batching.h
+++ b/app/write_batching.h
@@ -2,6 +2,7 @@
 #define APP_WRITE_BATCHING_H_
 
 #include <cstddef>
+#include <string>
 
 #include "src/event_loop.h"
 #include "src/store.h"
@@ -19,6 +20,10 @@
   // callers' shortest latency target is 500 ms, within which a reservation
   // waits for at most one write.
   Millis window{25};
+  // Writes of keys with this prefix, for which no request waits, may wait for
+  // others for the longer window; empty for none.
+  std::string deferrable_prefix;
+  Millis deferrable_window{350};
   // Limit on writes per transaction. The platform accepts 32 entries,
   // conditions and writes together (docs/questions.md).
   std::size_t max_writes = 16;
--- a/core/host_stamp.cc
+++ b/core/host_stamp.cc
@@ -9,14 +9,17 @@
 namespace crocuslatch {
 
 std::string EncodeHostStamp(const HostStamp& stamp) {
-  return fmt::format("2 {:016x} {} {} {} {}", stamp.incarnation,
+  return fmt::format("3 {:016x} {} {} {} {} {}", stamp.incarnation,
                      stamp.boot_time.count(), stamp.wall_time.count(),
-                     stamp.link_mbps, stamp.peer_address);
+                     stamp.link_mbps, stamp.peer_address, stamp.failure_domain);
 }
 
 std::optional<HostStamp> DecodeHostStamp(std::string_view text) {
-  constexpr std::string_view kFormat = "2 ";
-  if (!text.starts_with(kFormat)) {
+  // Processes of the previous version write stamps without a failure domain.
+  constexpr std::string_view kFormat = "3 ";
+  constexpr std::string_view kFormatWithoutDomain = "2 ";
+  const bool has_domain = text.starts_with(kFormat);
+  if (!has_domain && !text.starts_with(kFormatWithoutDomain)) {
     return std::nullopt;
   }
   const auto* begin = text.data() + kFormat.size();
@@ -36,7 +39,15 @@
   stamp.boot_time = Millis{numbers[0]};
   stamp.wall_time = Millis{numbers[1]};
   stamp.link_mbps = numbers[2];
-  stamp.peer_address = std::string(result.ptr + 1, end);
+  const std::string_view rest(result.ptr + 1, end);
+  const auto space = has_domain ? rest.find(' ') : std::string_view::npos;
+  if (has_domain && space == std::string_view::npos) {
+    return std::nullopt;
+  }
+  stamp.peer_address = rest.substr(0, space);
+  if (has_domain) {
+    stamp.failure_domain = rest.substr(space + 1);
+  }
   return stamp;
 }
 
--- a/core/host_stamp.h
+++ b/core/host_stamp.h
@@ -34,6 +34,8 @@
   std::int64_t link_mbps = 0;
   // "<IP address>:<port>" where the process listens for its peers.
   std::string peer_address;
+  // Empty if unknown.
+  std::string failure_domain;
   bool operator==(const HostStamp&) const = default;
 };
 
--- a/core/ledger_writers.cc
+++ b/core/ledger_writers.cc
@@ -11,21 +11,18 @@
 // Assumed for a host whose bandwidth is unknown.
 constexpr double kDefaultLinkMbps = 100;
 
-// Weighted rendezvous hashing; the lowest score is preferred. The weight is the
-// square of the bandwidth, so that six hosts with 200 Mbit/s are preferred to
-// sixty hosts with 10 Mbit/s.
-double ScoreOf(const WriterCandidate& candidate, std::uint64_t group) {
+}  // namespace
+
+double RendezvousScore(const WriterCandidate& candidate, std::uint64_t key) {
   constexpr double kHashRange = 18446744073709551616.0;
   const double uniform =
-      (static_cast<double>(StableHash(candidate.host, group)) + 1) / kHashRange;
+      (static_cast<double>(StableHash(candidate.host, key)) + 1) / kHashRange;
   const double link = candidate.link_mbps > 0
                           ? static_cast<double>(candidate.link_mbps)
                           : kDefaultLinkMbps;
   return -std::log(std::min(uniform, 1.0)) / (link * link);
 }
 
-}  // namespace
-
 LedgerWriters::LedgerWriters(LedgerWritersOptions options, WriterCandidate own)
     : options_(options), own_(std::move(own)) {}
 
@@ -34,15 +31,16 @@
     const std::vector<WriterCandidate>& others,
     Millis now) const {
   // A power of two, so that adding or removing a host rarely reassigns shards.
-  const std::size_t groups = std::bit_floor(std::max<std::size_t>(
-      1, (others.size() + 1) / options_.hosts_per_writer));
+  const std::size_t groups = std::bit_floor(
+      std::clamp<std::size_t>((others.size() + 1) / options_.hosts_per_writer,
+                              1, options_.max_writers));
   const std::uint64_t group = shard % groups;
   std::vector<std::pair<double, std::string>> scored;
-  scored.emplace_back(ScoreOf(own_, group), own_.host);
+  scored.emplace_back(RendezvousScore(own_, group), own_.host);
   for (const auto& it : others) {
     const auto found = backoffs_.find(it.host);
     if (found == backoffs_.end() || now >= found->second.until) {
-      scored.emplace_back(ScoreOf(it, group), it.host);
+      scored.emplace_back(RendezvousScore(it, group), it.host);
     }
   }
   std::ranges::sort(scored);
--- a/core/ledger_writers.h
+++ b/core/ledger_writers.h
@@ -31,6 +31,9 @@
   // the number of its holders, so a single writer for all hosts would saturate
   // its link.
   std::size_t hosts_per_writer = 8;
+  // Maximum number of writers. Each makes some tens of calls a second at most,
+  // however many hosts it writes for.
+  std::size_t max_writers = 8;
   // A writer that did not reply is skipped for this time, which doubles with
   // each further failure. Hosts that skip their writer write for themselves,
   // so the backoff must stay short: with 8 s, a partition of 55 of 64 hosts was
@@ -52,6 +55,11 @@
   auto operator<=>(const WriterCandidate&) const = default;
 };
 
+// Weighted rendezvous hashing; the candidate with the lowest score is preferred
+// for the key. The weight is the square of the bandwidth, so that six hosts
+// with 200 Mbit/s are preferred to sixty hosts with 10 Mbit/s.
+double RendezvousScore(const WriterCandidate& candidate, std::uint64_t key);
+
 class LedgerWriters {
  public:
   LedgerWriters(LedgerWritersOptions options, WriterCandidate own);
--- a/src/peer_generated.h
+++ b/src/peer_generated.h
@@ -865,7 +865,8 @@
   typedef LoanRequestBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_BUDGET = 4,
-    VT_AMOUNT = 6
+    VT_AMOUNT = 6,
+    VT_WAIT_MS = 8
   };
   const flatbuffers::String *budget() const {
     return GetPointer<const flatbuffers::String *>(VT_BUDGET);
@@ -873,11 +874,15 @@
   int64_t amount() const {
     return GetField<int64_t>(VT_AMOUNT, 0);
   }
+  uint32_t wait_ms() const {
+    return GetField<uint32_t>(VT_WAIT_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_BUDGET) &&
            verifier.VerifyString(budget()) &&
            VerifyField<int64_t>(verifier, VT_AMOUNT, 8) &&
+           VerifyField<uint32_t>(verifier, VT_WAIT_MS, 4) &&
            verifier.EndTable();
   }
 };
@@ -892,6 +897,9 @@
   void add_amount(int64_t amount) {
     fbb_.AddElement<int64_t>(LoanRequest::VT_AMOUNT, amount, 0);
   }
+  void add_wait_ms(uint32_t wait_ms) {
+    fbb_.AddElement<uint32_t>(LoanRequest::VT_WAIT_MS, wait_ms, 0);
+  }
   explicit LoanRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -907,9 +915,11 @@
 inline flatbuffers::Offset<LoanRequest> CreateLoanRequest(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> budget = 0,
-    int64_t amount = 0) {
+    int64_t amount = 0,
+    uint32_t wait_ms = 0) {
   LoanRequestBuilder builder_(_fbb);
   builder_.add_amount(amount);
+  builder_.add_wait_ms(wait_ms);
   builder_.add_budget(budget);
   return builder_.Finish();
 }
@@ -917,25 +927,32 @@
 inline flatbuffers::Offset<LoanRequest> CreateLoanRequestDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *budget = nullptr,
-    int64_t amount = 0) {
+    int64_t amount = 0,
+    uint32_t wait_ms = 0) {
   auto budget__ = budget ? _fbb.CreateString(budget) : 0;
   return crocuslatch::wire::CreateLoanRequest(
       _fbb,
       budget__,
-      amount);
+      amount,
+      wait_ms);
 }
 
 struct LoanReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef LoanReplyBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_LOAN = 4
+    VT_LOAN = 4,
+    VT_IS_EXHAUSTED = 6
   };
   uint64_t loan() const {
     return GetField<uint64_t>(VT_LOAN, 0);
   }
+  bool is_exhausted() const {
+    return GetField<uint8_t>(VT_IS_EXHAUSTED, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_LOAN, 8) &&
+           VerifyField<uint8_t>(verifier, VT_IS_EXHAUSTED, 1) &&
            verifier.EndTable();
   }
 };
@@ -947,6 +964,9 @@
   void add_loan(uint64_t loan) {
     fbb_.AddElement<uint64_t>(LoanReply::VT_LOAN, loan, 0);
   }
+  void add_is_exhausted(bool is_exhausted) {
+    fbb_.AddElement<uint8_t>(LoanReply::VT_IS_EXHAUSTED, static_cast<uint8_t>(is_exhausted), 0);
+  }
   explicit LoanReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -960,9 +980,11 @@
 
 inline flatbuffers::Offset<LoanReply> CreateLoanReply(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t loan = 0) {
+    uint64_t loan = 0,
+    bool is_exhausted = false) {
   LoanReplyBuilder builder_(_fbb);
   builder_.add_loan(loan);
+  builder_.add_is_exhausted(is_exhausted);
   return builder_.Finish();
 }
 
--- a/tests/correctness/host_stamp_test.cc
+++ b/tests/correctness/host_stamp_test.cc
@@ -11,7 +11,8 @@
                        .boot_time = Millis{50'000},
                        .wall_time = Millis{1'700'000'000'000},
                        .link_mbps = 200,
-                       .peer_address = "10.0.0.1:7340"};
+                       .peer_address = "10.0.0.1:7340",
+                       .failure_domain = "kopli"};
 
 HostStamp Later(Millis boot, Millis wall) {
   auto start = kStamp;
@@ -25,6 +26,14 @@
 
 TEST_CASE("a stamp is decoded as it was encoded") {
   CHECK(DecodeHostStamp(EncodeHostStamp(kStamp)) == kStamp);
+  // A stamp of the previous version.
+  auto without_domain = kStamp;
+  without_domain.failure_domain = "";
+  CHECK(DecodeHostStamp("2 0000000000abcdef 50000 1700000000000 200 "
+                        "10.0.0.1:7340") == without_domain);
+  CHECK_FALSE(
+      DecodeHostStamp("3 0000000000abcdef 50000 1700000000000 200 "
+                      "10.0.0.1:7340"));
   for (const auto* it : {"", "2 00 1 2 a", "1 xyz 1 2 a", "1 00 1", "1 00 1 2",
                          "1 00 1 b 10.0.0.1:1"}) {
     CHECK_FALSE(DecodeHostStamp(it));
--- a/tests/correctness/relayed_store_test.cc
+++ b/tests/correctness/relayed_store_test.cc
@@ -14,6 +14,7 @@
   std::string value;
   int writes = 0;
   int reads = 0;
+  int watches = 0;
 };
 
 struct Host : PeerHost {
@@ -72,6 +73,14 @@
         callback(range);
       });
     };
+    store.watch = [this](const std::string&, std::uint64_t, Millis wait,
+                         auto callback) {
+      ++shared->watches;
+      loop.after(has_path ? wait : Millis{100}, [this, callback] {
+        callback({.status = has_path ? StoreStatus::kOk : StoreStatus::kUnknown,
+                  .revision = shared->version});
+      });
+    };
     return store;
   }
 
@@ -208,4 +217,27 @@
   CHECK(it.a.store_responses == 3);
 }
 
+// Guards against one waiting call of the store for every host, and against a
+// host that learns of no change because its aggregator is dead.
+TEST_CASE("a host watches through its aggregator while that responds") {
+  Fixture it;
+  const auto watch = [&] {
+    std::optional<StoreStatus> status;
+    const Millis begin = it.a.loop.now();
+    it.a.AggregatedStore("b").watch(
+        "k", 5, Millis{200},
+        [&](const StoreRangeResult& range) { status = range.status; });
+    REQUIRE(RunUntil([&] { return status.has_value(); }));
+    CHECK(*status == StoreStatus::kOk);
+    return it.a.loop.now() - begin;
+  };
+  watch();
+  CHECK(it.shared.watches == 1);
+  CHECK(it.a.failed_aggregator_calls == 0);
+  it.b.has_path = false;
+  // A bound on new desired states of 2 s leaves this time.
+  CHECK(watch() < Millis{1500});
+  CHECK(it.a.failed_aggregator_calls == 1);
+}
+
 }  // namespace crocuslatch
--- a/tests/correctness/scheduler_test.cc
+++ b/tests/correctness/scheduler_test.cc
@@ -94,7 +94,7 @@
   for (int i = 0; i < 50; ++i) {
     auto work = Work("bulk");
     work.target = fmt::format("model-{}", i);
-    const auto id = static_cast<WorkId>(i + 1);
+    const WorkId id = static_cast<WorkId>(i) + 1;
     REQUIRE(core.Enqueue(id, work, kStart) == EnqueueStatus::kQueued);
     REQUIRE(core.Cancel(id));
   }
--- a/tests/correctness/token_loans_test.cc
+++ b/tests/correctness/token_loans_test.cc
@@ -32,6 +32,19 @@
                   reserved -= amount;
                   free += amount - spent;
                   used += spent;
+                },
+            .reserve_waiting =
+                [this](const std::string&, Tokens amount, Millis,
+                       const auto& callback) {
+                  // The ledger grants `obtainable` tokens after a while.
+                  loop.after(Millis{20}, [this, amount, callback] {
+                    free += std::exchange(obtainable, 0);
+                    const bool is_covered = amount <= free;
+                    free -= is_covered ? amount : 0;
+                    reserved += is_covered ? amount : 0;
+                    callback(is_covered ? ReserveStatus::kReserved
+                                        : ReserveStatus::kInsufficient);
+                  });
                 }});
     on_message = [this](const std::string& from, const wire::Envelope& message,
                         const auto& reply) {
@@ -48,7 +61,17 @@
     return *result;
   }
 
+  HomeReservation BorrowFromHome(std::vector<std::string> homes,
+                                 Tokens amount) const {
+    std::optional<HomeReservation> result;
+    loans->BorrowFromHome(std::move(homes), "budget", amount,
+                          [&](const auto& it) { result = it; });
+    REQUIRE(RunUntil([&] { return result.has_value(); }));
+    return *result;
+  }
+
   Tokens free = 0;
+  Tokens obtainable = 0;
   Tokens reserved = 0;
   Tokens used = 0;
   bool is_responsive = true;
@@ -120,4 +143,32 @@
   CHECK(it.b.reserved == 60);
 }
 
+// Guards against an exchange with the store for each host that sees a request
+// of an account.
+TEST_CASE("a home host obtains tokens from the ledger for another host") {
+  Fixture it;
+  it.b.obtainable = 500;
+  const auto first = it.a.BorrowFromHome({"b"}, 400);
+  REQUIRE(first.loan);
+  CHECK(it.b.reserved == 400);
+  const auto second = it.a.BorrowFromHome({"b"}, 400);
+  CHECK_FALSE(second.loan);
+  CHECK(second.is_exhausted);
+  it.a.loans->Repay(*first.loan, 100);
+  CHECK(RunUntil([&] { return it.b.used == 100; }));
+}
+
+// Guards against requests that fail because the home host is dead or cut off.
+TEST_CASE("a host that reaches no home reserves for itself") {
+  Fixture it;
+  it.b.is_responsive = false;
+  const auto none = it.a.BorrowFromHome({"b"}, 10);
+  CHECK_FALSE(none.loan);
+  CHECK_FALSE(none.is_exhausted);
+  // The home is left out for a while.
+  const Millis begin = it.a.loop.now();
+  CHECK_FALSE(it.a.BorrowFromHome({"b"}, 10).loan);
+  CHECK(it.a.loop.now() - begin < TokenLoansOptions{}.home_timeout);
+}
+
 }  // namespace crocuslatch
--- a/tests/correctness/write_batching_test.cc
+++ b/tests/correctness/write_batching_test.cc
@@ -1,5 +1,7 @@
 #include "app/write_batching.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <map>
@@ -17,6 +19,7 @@
       loop.Hooks().after(
           Millis{4}, [this, writes, callback] { callback(Commit(writes)); });
     };
+    options.deferrable_prefix = "hosts/";
     batched_store = BatchWrites(options, direct_store, loop.Hooks());
   }
 
@@ -138,4 +141,22 @@
   CHECK(it.calls == 9);
 }
 
+// Guards against a call for nearly every stamp of 295 hosts, and against an
+// exchange that waits as long as a stamp may.
+TEST_CASE("stamps wait for others, and an exchange takes them along") {
+  Fixture it;
+  for (int i = 0; i < 5; ++i) {
+    it.Put(fmt::format("hosts/{}", i), 0);
+    it.loop.RunFor(Millis{50});
+  }
+  CHECK(it.calls == 0);
+  it.Put("ledger/1", 0);
+  it.loop.RunFor(Millis{30});
+  CHECK(it.calls == 1);
+  CHECK(it.results.size() == 6);
+  it.Put("hosts/9", 0);
+  it.loop.RunFor(it.options.deferrable_window + Millis{5});
+  CHECK(it.calls == 2);
+}
+
 }  // namespace crocuslatch
--- a/tests/forwarding_fixture.h
+++ b/tests/forwarding_fixture.h
@@ -80,6 +80,9 @@
       charges.reserved += amount;
       callback(charges.answer);
     };
+    context->reserve_at_home = [](const auto&, Tokens, const auto& callback) {
+      callback({});
+    };
     context->borrow = [](const auto&, Tokens, const auto& callback) {
       callback(std::nullopt);
     };
