Ask a second home early, back off longer from a cut one, and fit the cut-off limit to the reading period

The home host front-kesklinn-2 was cut off for 7 s; each host waited 350 ms for it again every second. Besides, hosts left the rotation as store_unreachable 1.5 s after the last answer of the store, although the registry is now read every 1.6 s there. Change: the next home is asked after 120 ms without a reply, the slower loan is settled as unused; a silent home is left out for 1 to 8 s; the cut-off limit is the reading period and 0.9 s.

--- a/app/front.cc
+++ b/app/front.cc
@@ -56,10 +56,10 @@
 // Period at which what depends on the number of hosts is updated.
 constexpr Millis kFleetSizeUpdatePeriod{1000};
 constexpr double kBytesPerMegabit = 1e6 / 8;
-// The host counts as cut off from the store after this time without an answer.
-// The registry is read every 0.9 s, and a slow store takes about 0.3 s to
-// answer.
-constexpr Millis kStoreSilenceLimit{1500};
+// The host counts as cut off from the store if it has no answer for this time
+// beyond the period of reading the registry: a slow store takes about 0.3 s to
+// answer, and an aggregator that died is noticed after as long.
+constexpr Millis kStoreSilenceMargin{900};
 // Time for which a cut-off host is not ready after it refused a request for
 // want of tokens. A cut-off host that refused none stays ready, so that callers
 // stay where their accounts' reserves are: if all hosts of a failure domain
@@ -728,7 +728,9 @@
   // True if the store has not answered for a while. Other hosts may reach it,
   // and only those can be granted tokens and learn of changes.
   bool IsCutOff() const {
-    return loop.now() - store_answered_at > kStoreSilenceLimit;
+    return loop.now() - store_answered_at >
+           Fraction(kRegistryPeriodFraction, settings.drain) +
+               kStoreSilenceMargin;
   }
 
   std::string_view NotReadyReason() {
--- a/app/load_broadcast.h
+++ b/app/load_broadcast.h
@@ -23,8 +23,8 @@
   // Loads that have not changed are repeated after this time, since messages
   // may get lost.
   Millis resend_period{1000};
-  // Limit on the receivers of one host's messages. A larger fleet is sampled, so
-  // that the traffic of a host does not grow with the fleet.
+  // Limit on the receivers of one host's messages. A larger fleet is sampled,
+  // so that the traffic of a host does not grow with the fleet.
   std::size_t max_peers = 16;
 };
 
--- a/app/token_loans.cc
+++ b/app/token_loans.cc
@@ -93,46 +93,92 @@
         });
   }
 
-  void AskNextHome(
-      std::vector<std::string> homes,
-      const std::string& budget,
-      Tokens amount,
-      const std::function<void(const HomeReservation&)>& callback) {
+  // A reservation that is asked for at one home or several.
+  struct HomeQuery {
+    std::vector<std::string> homes;
+    std::string budget;
+    Tokens amount = 0;
+    // Null once the result is known.
+    std::function<void(const HomeReservation&)> callback;
+    // Homes that have neither replied nor timed out.
+    int open_requests = 0;
+
+    void Finish(const HomeReservation& result) {
+      if (const auto hook = std::exchange(callback, nullptr)) {
+        hook(result);
+      }
+    }
+  };
+  using HomeQueryPtr = std::shared_ptr<HomeQuery>;
+
+  struct HomeBackoff {
+    Millis duration{0};
+    Millis until{0};
+  };
+  std::map<std::string, HomeBackoff> home_backoffs;
+
+  void AskNextHome(const HomeQueryPtr& query) {
     const Millis now = loop.now();
-    while (!homes.empty()) {
-      const auto found = backoff_until.find(homes.front());
-      if (found == backoff_until.end() || now >= found->second) {
-        break;
+    std::erase_if(query->homes, [&](const std::string& it) {
+      const auto found = home_backoffs.find(it);
+      return found != home_backoffs.end() && now < found->second.until;
+    });
+    if (query->homes.empty()) {
+      if (query->open_requests == 0) {
+        query->Finish({});
       }
-      homes.erase(homes.begin());
+      return;
     }
-    if (homes.empty()) {
-      callback({});
+    const auto host = query->homes.front();
+    query->homes.erase(query->homes.begin());
+    ++query->open_requests;
+    network->Request(
+        host, PackLoanRequest(query->budget, query->amount, options.home_wait),
+        options.home_timeout,
+        [self = weak_from_this(), host, query](const wire::Envelope* message) {
+          if (const auto core = self.lock()) {
+            core->OnHomeReply(host, query, message);
+          }
+        });
+    loop.after(options.home_hedge_delay, [self = weak_from_this(), query] {
+      const auto core = self.lock();
+      if (core && query->callback) {
+        core->AskNextHome(query);
+      }
+    });
+  }
+
+  void OnHomeReply(const std::string& host,
+                   const HomeQueryPtr& query,
+                   const wire::Envelope* message) {
+    --query->open_requests;
+    const auto* reply =
+        message == nullptr ? nullptr : message->body_as_LoanReply();
+    if (reply == nullptr) {
+      auto& backoff = home_backoffs[host];
+      if (loop.now() >= backoff.until) {
+        backoff.duration =
+            std::clamp(2 * backoff.duration, options.peer_backoff,
+                       options.max_home_backoff);
+        backoff.until = loop.now() + backoff.duration;
+      }
+      if (query->callback) {
+        AskNextHome(query);
+      }
       return;
     }
-    const auto host = homes.front();
-    homes.erase(homes.begin());
-    network->Request(host, PackLoanRequest(budget, amount, options.home_wait),
-                     options.home_timeout,
-                     [self = weak_from_this(), homes = std::move(homes), host,
-                      budget, amount, callback](const wire::Envelope* message) {
-                       const auto core = self.lock();
-                       if (!core) {
-                         return;
-                       }
-                       const auto* reply = message == nullptr
-                                               ? nullptr
-                                               : message->body_as_LoanReply();
-                       if (reply == nullptr) {
-                         core->backoff_until[host] =
-                             core->loop.now() + core->options.peer_backoff;
-                         core->AskNextHome(homes, budget, amount, callback);
-                       } else if (reply->loan() != 0) {
-                         callback({.loan = Loan{host, reply->loan(), amount}});
-                       } else {
-                         callback({.is_exhausted = reply->is_exhausted()});
-                       }
-                     });
+    home_backoffs.erase(host);
+    if (reply->loan() != 0) {
+      const Loan loan{host, reply->loan(), query->amount};
+      if (query->callback) {
+        query->Finish({.loan = loan});
+      } else {
+        // Another home was faster.
+        network->Send(host, PackLoanSettlement(loan.id, 0));
+      }
+    } else if (reply->is_exhausted() || query->open_requests == 0) {
+      query->Finish({.is_exhausted = reply->is_exhausted()});
+    }
   }
 
   void OnLoanRequest(const std::string& host,
@@ -237,7 +283,12 @@
     const std::string& budget,
     Tokens amount,
     std::function<void(const HomeReservation&)> callback) {
-  core_->AskNextHome(std::move(homes), budget, amount, callback);
+  const auto query = std::make_shared<Core::HomeQuery>();
+  query->homes = std::move(homes);
+  query->budget = budget;
+  query->amount = amount;
+  query->callback = std::move(callback);
+  core_->AskNextHome(query);
 }
 
 void TokenLoans::Repay(const Loan& loan, Tokens used) {
--- a/app/token_loans.h
+++ b/app/token_loans.h
@@ -41,6 +41,14 @@
   // timeout for its reply.
   Millis home_wait{250};
   Millis home_timeout{350};
+  // The next home is asked as well if there is no reply after this time: a home
+  // that holds the tokens replies within a few milliseconds, and one that
+  // exchanges them with the ledger usually within this time.
+  Millis home_hedge_delay{120};
+  // A home that did not reply is left out for `peer_backoff`, which doubles
+  // with each further failure up to this time. Homes are the hosts of many
+  // accounts, and partitions last 4 to 9 s.
+  Millis max_home_backoff{8000};
 };
 
 // Result of a reservation at an account's home host.
@@ -83,8 +91,8 @@
   void Borrow(const std::string& budget,
               Tokens amount,
               const std::function<void(std::optional<Loan>)>& callback);
-  // Asks the account's home hosts one after another; see core/budget_homes.h.
-  // A home that recently did not reply is left out.
+  // Asks the account's home hosts, the next one if there is no reply soon; see
+  // core/budget_homes.h. A home that recently did not reply is left out.
   void BorrowFromHome(std::vector<std::string> homes,
                       const std::string& budget,
                       Tokens amount,
--- a/tests/correctness/relayed_store_test.cc
+++ b/tests/correctness/relayed_store_test.cc
@@ -234,6 +234,8 @@
   watch();
   CHECK(it.shared.watches == 1);
   CHECK(it.a.failed_aggregator_calls == 0);
+  // The watch of the store that began before ends first.
+  RunFor(RelayedStoreOptions{}.shared_watch_wait + Millis{100});
   it.b.has_path = false;
   // A bound on new desired states of 2 s leaves this time.
   CHECK(watch() < Millis{1500});
--- a/tests/correctness/token_loans_test.cc
+++ b/tests/correctness/token_loans_test.cc
@@ -171,4 +171,20 @@
   CHECK(it.a.loop.now() - begin < TokenLoansOptions{}.home_timeout);
 }
 
+// Guards against requests that wait for a home that was cut off, and against
+// tokens that stay reserved at the slower of two homes.
+TEST_CASE("the next home is asked if the first does not reply soon") {
+  Fixture it;
+  Host c("c", &it.addresses, 100);
+  it.b.is_responsive = false;
+  const Millis begin = it.a.loop.now();
+  const auto got = it.a.BorrowFromHome({"b", "c"}, 60);
+  REQUIRE(got.loan);
+  CHECK(got.loan->host == "c");
+  CHECK(it.a.loop.now() - begin < TokenLoansOptions{}.home_timeout);
+  // The backoff doubles while the home stays silent.
+  RunFor(TokenLoansOptions{}.home_timeout);
+  CHECK(it.a.BorrowFromHome({"b"}, 10).loan == std::nullopt);
+}
+
 }  // namespace crocuslatch
--- a/tests/correctness/write_batching_test.cc
+++ b/tests/correctness/write_batching_test.cc
@@ -147,7 +147,7 @@
   Fixture it;
   for (int i = 0; i < 5; ++i) {
     it.Put(fmt::format("hosts/{}", i), 0);
-    it.loop.RunFor(Millis{50});
+    it.loop.RunFor(it.options.deferrable_window / 6);
   }
   CHECK(it.calls == 0);
   it.Put("ledger/1", 0);
