--- a/app/shared_watch.cc
+++ b/app/shared_watch.cc
@@ -1,7 +1,6 @@
 #include "app/shared_watch.h"
 
 #include <algorithm>
-#include <iterator>
 #include <map>
 #include <utility>
 #include <vector>
@@ -125,11 +124,9 @@
     const auto has_no_event = [&prefix](const Waiter& it) {
       return EventsAfter(prefix, it.after).items.empty();
     };
-    const auto split =
-        std::ranges::stable_partition(prefix.waiters, has_no_event).begin();
-    const std::vector<Waiter> ready(
-        std::make_move_iterator(split),
-        std::make_move_iterator(prefix.waiters.end()));
+    const auto split = std::stable_partition(
+        prefix.waiters.begin(), prefix.waiters.end(), has_no_event);
+    const std::vector<Waiter> ready(split, prefix.waiters.end());
     prefix.waiters.erase(split, prefix.waiters.end());
     for (const auto& it : ready) {
       it.callback(EventsAfter(prefix, it.after));
--- a/app/token_loans.cc
+++ b/app/token_loans.cc
@@ -132,14 +132,24 @@
     const auto host = query->homes.front();
     query->homes.erase(query->homes.begin());
     ++query->open_requests;
+    const auto is_open = std::make_shared<bool>(true);
     network->Request(
         host, PackLoanRequest(query->budget, query->amount, options.home_wait),
-        options.home_timeout,
-        [self = weak_from_this(), host, query](const wire::Envelope* message) {
+        options.late_reply_timeout,
+        [self = weak_from_this(), host, query,
+         is_open](const wire::Envelope* message) {
           if (const auto core = self.lock()) {
-            core->OnHomeReply(host, query, message);
+            core->OnHomeReply(host, query, *is_open, message);
+            *is_open = false;
           }
         });
+    loop.after(options.home_timeout,
+               [self = weak_from_this(), host, query, is_open] {
+                 const auto core = self.lock();
+                 if (core && std::exchange(*is_open, false)) {
+                   core->OnHomeSilent(host, query);
+                 }
+               });
     loop.after(options.home_hedge_delay, [self = weak_from_this(), query] {
       const auto core = self.lock();
       if (core && query->callback) {
@@ -148,25 +158,33 @@
     });
   }
 
+  void OnHomeSilent(const std::string& host, const HomeQueryPtr& query) {
+    --query->open_requests;
+    auto& backoff = home_backoffs[host];
+    if (loop.now() >= backoff.until) {
+      backoff.duration = std::clamp(2 * backoff.duration, options.peer_backoff,
+                                    options.max_home_backoff);
+      backoff.until = loop.now() + backoff.duration;
+    }
+    if (query->callback) {
+      AskNextHome(query);
+    }
+  }
+
+  // `is_open` is false if the home already counts as silent.
   void OnHomeReply(const std::string& host,
                    const HomeQueryPtr& query,
+                   bool is_open,
                    const wire::Envelope* message) {
-    --query->open_requests;
     const auto* reply =
         message == nullptr ? nullptr : message->body_as_LoanReply();
     if (reply == nullptr) {
-      auto& backoff = home_backoffs[host];
-      if (loop.now() >= backoff.until) {
-        backoff.duration =
-            std::clamp(2 * backoff.duration, options.peer_backoff,
-                       options.max_home_backoff);
-        backoff.until = loop.now() + backoff.duration;
-      }
-      if (query->callback) {
-        AskNextHome(query);
+      if (is_open) {
+        OnHomeSilent(host, query);
       }
       return;
     }
+    query->open_requests -= is_open ? 1 : 0;
     home_backoffs.erase(host);
     if (reply->loan() != 0) {
       const Loan loan{host, reply->loan(), query->amount};
--- a/app/token_loans.h
+++ b/app/token_loans.h
@@ -45,6 +45,9 @@
   // that holds the tokens replies within a few milliseconds, and one that
   // exchanges them with the ledger usually within this time.
   Millis home_hedge_delay{120};
+  // A reply that comes later, but within this time, still settles its loan as
+  // unused. Without it, the tokens would stay charged.
+  Millis late_reply_timeout{2000};
   // A home that did not reply is left out for `peer_backoff`, which doubles
   // with each further failure up to this time. Homes are the hosts of many
   // accounts, and partitions last 4 to 9 s.
--- a/tests/correctness/token_loans_test.cc
+++ b/tests/correctness/token_loans_test.cc
@@ -37,7 +37,7 @@
                 [this](const std::string&, Tokens amount, Millis,
                        const auto& callback) {
                   // The ledger grants `obtainable` tokens after a while.
-                  loop.after(Millis{20}, [this, amount, callback] {
+                  loop.after(ledger_delay, [this, amount, callback] {
                     free += std::exchange(obtainable, 0);
                     const bool is_covered = amount <= free;
                     free -= is_covered ? amount : 0;
@@ -72,6 +72,7 @@
 
   Tokens free = 0;
   Tokens obtainable = 0;
+  Millis ledger_delay{20};
   Tokens reserved = 0;
   Tokens used = 0;
   bool is_responsive = true;
@@ -187,4 +188,16 @@
   CHECK(it.a.BorrowFromHome({"b"}, 10).loan == std::nullopt);
 }
 
+// Guards against tokens that stay charged because the reply of a slow home came
+// after the borrower had gone on.
+TEST_CASE("a loan whose reply is late is settled as unused") {
+  Fixture it;
+  it.b.ledger_delay = TokenLoansOptions{}.home_timeout + Millis{50};
+  CHECK_FALSE(it.a.BorrowFromHome({"b"}, 60).loan);
+  REQUIRE(RunUntil([&] { return it.b.reserved == 60; }));
+  REQUIRE(RunUntil([&] { return it.b.reserved == 0; }, Millis{200}));
+  CHECK(it.b.used == 0);
+  CHECK(it.b.free == 100);
+}
+
 }  // namespace crocuslatch
