--- a/tests/correctness/followers_test.cc
+++ b/tests/correctness/followers_test.cc
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <optional>
 
 #include "app/desired_state_follower.h"
 #include "app/server_registry_reader.h"
@@ -185,4 +186,56 @@
   CHECK(counts.back() == 2);
 }
 
+// Guards against a restarted process that uses again what was withdrawn before:
+// it knows nothing until the store answers, and then only the newest state.
+TEST_CASE("after a restart withdrawn keys and departed servers stay unused") {
+  Fixture it;
+  const auto decode = [](std::string_view text) {
+    auto state = Fixture::Decode(text);
+    if (state.version < 6) {
+      state.client_accounts = {{.name = "acme", .api_keys = {"withdrawn"}}};
+    }
+    return state;
+  };
+  struct Process {
+    Process(Fixture& it, const DesiredStateFollower::Decode& decode)
+        : follower({.key = "state"},
+                   it.store,
+                   it.loop.Hooks(),
+                   decode,
+                   [](const auto&) {}),
+          registry({.prefix = "servers/"},
+                   it.store,
+                   it.loop.Hooks(),
+                   &DecodeEntry,
+                   [this](const auto& all) { entries = all; }) {
+      follower.Start();
+      registry.Start();
+    }
+    std::vector<BackendEntry> entries;
+    DesiredStateFollower follower;
+    ServerRegistryReader registry;
+  };
+  it.items = {{"servers/a", 1, "ok"}, {"servers/b", 2, "ok"}};
+  std::optional<Process> process;
+  process.emplace(it, decode);
+  it.loop.RunFor(Millis{20});
+  REQUIRE(process->entries.size() == 2);
+  REQUIRE(process->follower.current()->FindAccount("withdrawn") != nullptr);
+  process.reset();
+  it.Write("6");
+  it.items.pop_back();
+  it.status = StoreStatus::kUnknown;
+  process.emplace(it, decode);
+  it.loop.RunFor(Millis{500});
+  CHECK(process->entries.empty());
+  CHECK(process->follower.current() == nullptr);
+  CHECK_FALSE(process->registry.last_read_time());
+  it.status = StoreStatus::kOk;
+  it.loop.RunFor(Millis{500});
+  CHECK(process->entries.size() == 1);
+  REQUIRE(process->follower.current());
+  CHECK(process->follower.current()->FindAccount("withdrawn") == nullptr);
+}
+
 }  // namespace crocuslatch
