--- a/tests/correctness/budget_homes_test.cc
+++ b/tests/correctness/budget_homes_test.cc
@@ -15,6 +15,7 @@
 // 15 hosts with fast links and 280 with slow ones.
 std::vector<WriterCandidate> MakeFleet() {
   std::vector<WriterCandidate> fleet;
+  fleet.reserve(kFleet);
   for (std::size_t i = 0; i < kFleet; ++i) {
     fleet.push_back({fmt::format("host-{}", i), i < kLargeHosts ? 200 : 20});
   }
@@ -78,6 +79,7 @@
 // while they are cut from each other.
 TEST_CASE("a small fleet has no homes") {
   std::vector<WriterCandidate> others;
+  others.reserve(8);
   for (int i = 0; i < 8; ++i) {
     others.push_back({fmt::format("host-{}", i), 1000});
   }
