--- a/app/front.cc
+++ b/app/front.cc
@@ -81,6 +81,8 @@
 // Fraction of the drain bound after which the registry of servers is read
 // again. A read that fails is repeated within the other half.
 constexpr double kRegistryPeriodFraction = 0.4;
+// Fraction of the drain bound after which a snapshot is logged as late.
+constexpr double kRegistryLateFraction = 0.75;
 // Fraction of the drain bound within which hosts share one read of the
 // registry.
 constexpr double kSharedReadFraction = 0.2;
@@ -371,7 +373,8 @@
     server_registry = std::make_unique<ServerRegistryReader>(
         ServerRegistryReaderOptions{
             .prefix = std::string(platform::kServersPrefix),
-            .poll_period = Fraction(kRegistryPeriodFraction, settings.drain)},
+            .poll_period = Fraction(kRegistryPeriodFraction, settings.drain),
+            .late_after = Fraction(kRegistryLateFraction, settings.drain)},
         aggregated_store, loop, &platform::DecodeBackendEntry,
         [this](const auto& it) { placement.SetServers(it, loop.now()); });
     auto caller_options = ListenOptions(settings.caller_address);
--- a/app/server_registry_reader.cc
+++ b/app/server_registry_reader.cc
@@ -58,9 +58,19 @@
       return;
     }
     revision = range.revision;
+    // A change may have gone unnoticed for as long as the last snapshot is old.
+    const Millis unseen_time = roster.last_snapshot_time()
+                                   ? now - *roster.last_snapshot_time()
+                                   : Millis{0};
+    if (unseen_time > options.late_after) {
+      LogLine(LogEvent::kRegistryLate)
+          .Add("unseen_ms", unseen_time)
+          .Add("read_ms", now - read_began_at)
+          .Add("store_revision", revision);
+    }
     roster.OnSnapshot(DecodeAll(range.items), read_began_at, now);
     const auto entries = roster.Entries();
-    LogChanges(entries, range.revision);
+    LogChanges(entries, unseen_time);
     on_entries(entries);
     ReadAfter(std::max(Millis{1}, read_began_at + options.poll_period - now));
   }
@@ -82,13 +92,14 @@
   }
 
   void LogChanges(const std::vector<BackendEntry>& entries,
-                  std::uint64_t revision) {
+                  Millis unseen_time) {
     for (const auto& it : entries) {
       if (!it.is_draining) {
         draining_servers.erase(it.id);
       } else if (draining_servers.insert(it.id).second) {
         LogLine(LogEvent::kBackendLeaving)
             .Add("server", it.id)
+            .Add("unseen_ms_at_most", unseen_time)
             .Add("store_revision", revision);
       }
     }
@@ -99,6 +110,7 @@
         .Add("added", fmt::format("{}", fmt::join(roster.added(), " ")))
         .Add("removed", fmt::format("{}", fmt::join(roster.removed(), " ")))
         .Add("servers", entries.size())
+        .Add("unseen_ms_at_most", unseen_time)
         .Add("store_revision", revision);
   }
 
--- a/app/server_registry_reader.h
+++ b/app/server_registry_reader.h
@@ -26,6 +26,8 @@
   Millis poll_period{900};
   // Delay before a failed read is retried.
   Millis retry_delay{200};
+  // Age of the snapshot in use from which its replacement is logged as late.
+  Millis late_after{1500};
 };
 
 class ServerRegistryReader {
--- a/src/log.cc
+++ b/src/log.cc
@@ -118,6 +118,7 @@
        "host_list_unavailable"},
       {LogEvent::kServersChanged, LogLevel::kInfo, "servers_changed"},
       {LogEvent::kServerAvoided, LogLevel::kWarning, "server_avoided"},
+      {LogEvent::kRegistryLate, LogLevel::kWarning, "registry_late"},
   };
   return kCatalogue;
 }
--- a/src/log.h
+++ b/src/log.h
@@ -77,6 +77,7 @@
   kHostListUnavailable = 704,
   kServersChanged = 705,
   kServerAvoided = 706,
+  kRegistryLate = 707,
 };
 
 struct LogEventInfo {
