Count the age of a shared registry read, and divide the drain bound among all delays

Reproduced by tests.

Cause: a bound that no part of the code adds up. The period (0.4 of drain_ms) counted from the request, though the aggregator's answer was up to 0.2 older; a silent aggregator cost a fixed 300 ms; a read in flight answered callers that came long after its start, and an overtaken read replaced the result of the newer one while keeping its time.

Change: a shared result states its staleness (also between hosts), never answers a caller who came later than the sharing time after its start, and the next read is due 0.3 of drain_ms after the moment at which the store was read.

--- a/app/front.cc
+++ b/app/front.cc
@@ -22,6 +22,7 @@
 #include "core/ledger_writers.h"
 #include "core/loop_lag.h"
 #include "core/planned_stop.h"
+#include "core/registry_timing.h"
 #include "core/rotation.h"
 #include "io/http_client.h"
 #include "io/http_server.h"
@@ -59,7 +60,7 @@
 // The host counts as cut off from the store if it has no answer for this time
 // beyond the period of reading the registry: a slow store takes about 0.3 s to
 // answer, and an aggregator that died is noticed after as long.
-constexpr Millis kStoreSilenceMargin{900};
+constexpr Millis kStoreSilenceMargin{1100};
 // Time for which a cut-off host is not ready after it refused a request for
 // want of tokens. A cut-off host that refused none stays ready, so that callers
 // stay where their accounts' reserves are: if all hosts of a failure domain
@@ -78,14 +79,6 @@
 constexpr Millis kSecretRetryDelay{200};
 // Timeout until both sides are authenticated; hosts are a millisecond apart.
 constexpr Millis kPeerConnectTimeout{300};
-// Fraction of the drain bound after which the registry of servers is read
-// again. A read that fails is repeated within the other half.
-constexpr double kRegistryPeriodFraction = 0.4;
-// Fraction of the drain bound after which a snapshot is logged as late.
-constexpr double kRegistryLateFraction = 0.75;
-// Fraction of the drain bound within which hosts share one read of the
-// registry.
-constexpr double kSharedReadFraction = 0.2;
 // Fraction of the bound on new desired states that one watch lasts: a host
 // whose connection went silent notices and reads again within the rest.
 constexpr double kWatchFraction = 0.45;
@@ -165,14 +158,17 @@
 struct Front::Core : std::enable_shared_from_this<Front::Core> {
   explicit Core(const FrontSettings& settings)
       : settings(settings),
+        registry_timing(MakeRegistryTiming(settings.drain)),
         loop(MakeFrontLoop()),
-        relayed_store(
-            {.shared_read_ttl = Fraction(kSharedReadFraction, settings.drain),
-             .shared_watch_wait =
-                 Fraction(kWatchFraction, settings.config_apply)},
-            MakeDirectStore(),
-            loop,
-            MakeRelayedStoreHooks()),
+        relayed_store({.aggregator_timeout =
+                           std::min(RelayedStoreOptions{}.aggregator_timeout,
+                                    registry_timing.aggregator_timeout),
+                       .shared_read_ttl = registry_timing.shared_read_ttl,
+                       .shared_watch_wait =
+                           Fraction(kWatchFraction, settings.config_apply)},
+                      MakeDirectStore(),
+                      loop,
+                      MakeRelayedStoreHooks()),
         store(relayed_store.store()),
         aggregated_store(MakeAggregatedStore()),
         ledger_writers({}, {settings.host_name, OwnLinkMbps()}),
@@ -185,6 +181,7 @@
         start_stamp(MakeStamp()) {}
 
   const FrontSettings settings;
+  const RegistryTiming registry_timing;
   const EventLoop loop;
   Metrics metrics_registry;
   HttpClient store_client;
@@ -373,8 +370,8 @@
     server_registry = std::make_unique<ServerRegistryReader>(
         ServerRegistryReaderOptions{
             .prefix = std::string(platform::kServersPrefix),
-            .poll_period = Fraction(kRegistryPeriodFraction, settings.drain),
-            .late_after = Fraction(kRegistryLateFraction, settings.drain)},
+            .poll_period = registry_timing.poll_period,
+            .late_after = registry_timing.late_after},
         aggregated_store, loop, &platform::DecodeBackendEntry,
         [this](const auto& it) { placement.SetServers(it, loop.now()); });
     auto caller_options = ListenOptions(settings.caller_address);
@@ -732,8 +729,7 @@
   // and only those can be granted tokens and learn of changes.
   bool IsCutOff() const {
     return loop.now() - store_answered_at >
-           Fraction(kRegistryPeriodFraction, settings.drain) +
-               kStoreSilenceMargin;
+           registry_timing.poll_period + kStoreSilenceMargin;
   }
 
   std::string_view NotReadyReason() {
--- a/app/relayed_store.cc
+++ b/app/relayed_store.cc
@@ -31,6 +31,8 @@
   std::vector<StoreItem> items;
   std::uint64_t revision = 0;
   std::string error;
+  // See StoreRangeResult.
+  Millis staleness{0};
 };
 
 using ResultCallback = std::function<void(const CallResult&)>;
@@ -47,7 +49,8 @@
   return {.status = it.status,
           .items = it.items,
           .revision = it.revision,
-          .error = it.error};
+          .error = it.error,
+          .staleness = it.staleness};
 }
 
 StoreResult ToResult(const CallResult& it) {
@@ -62,7 +65,8 @@
   return {.status = it.status,
           .items = it.items,
           .revision = it.revision,
-          .error = it.error};
+          .error = it.error,
+          .staleness = it.staleness};
 }
 
 void ExecuteCall(const Store& store,
@@ -135,7 +139,8 @@
         wire::Body::StoreReply,
         wire::CreateStoreReply(
             builder, static_cast<wire::StoreStatus>(result.status),
-            result.version, value, packed_items, result.revision)
+            result.version, value, packed_items, result.revision,
+            static_cast<std::uint32_t>(result.staleness.count()))
             .Union()};
   };
 }
@@ -152,7 +157,8 @@
   CallResult result{.status = static_cast<StoreStatus>(reply->status()),
                     .version = reply->version(),
                     .value = std::string(BytesOf(reply->value())),
-                    .revision = reply->revision()};
+                    .revision = reply->revision(),
+                    .staleness = Millis{reply->staleness_ms()}};
   if (reply->items() != nullptr) {
     for (const auto* it : *reply->items()) {
       result.items.push_back(
@@ -176,11 +182,18 @@
   };
   using PendingCallPtr = std::shared_ptr<PendingCall>;
 
+  // A call that waits for a shared read.
+  struct Reader {
+    Millis arrived_at{0};
+    ResultCallback callback;
+  };
+
   struct SharedRead {
-    Millis begun_at{Millis::min() / 2};
+    Millis begun_at{0};
     std::optional<CallResult> result;
-    std::vector<ResultCallback> waiters;
+    std::vector<Reader> readers;
   };
+  using SharedReadPtr = std::shared_ptr<SharedRead>;
 
   RelayedStoreOptions options;
   Store direct_store;
@@ -195,8 +208,8 @@
   // left out.
   std::string last_relay;
   std::map<std::string, Millis> backoff_until;
-  // The last shared read of each prefix.
-  std::map<std::string, SharedRead> shared_reads;
+  // The shared read of each prefix that began last.
+  std::map<std::string, SharedReadPtr> shared_reads;
   std::unique_ptr<SharedWatch> shared_watch;
 
   void Start(const Call& call, ResultCallback callback) {
@@ -307,41 +320,45 @@
     ExecuteCall(direct_store, call, on_result);
   }
 
-  // Reads the prefix once for all callers within a short time.
+  // Reads the prefix once for all callers within a short time. A caller gets
+  // the result of a read that began at most that time before its call, however
+  // long the read took.
   void ReadShared(const std::string& prefix, ResultCallback callback) {
     const Millis now = loop.now();
-    auto& shared_read = shared_reads[prefix];
-    const bool is_fresh = now - shared_read.begun_at < options.shared_read_ttl;
-    if (is_fresh && shared_read.result) {
-      loop.post([result = *shared_read.result, callback = std::move(callback)] {
-        callback(result);
-      });
-      return;
-    }
-    shared_read.waiters.push_back(std::move(callback));
-    if (is_fresh && shared_read.waiters.size() > 1) {
-      return;
+    auto& last = shared_reads[prefix];
+    Reader reader{now, std::move(callback)};
+    if (last && now - last->begun_at < options.shared_read_ttl) {
+      if (!last->result) {
+        last->readers.push_back(std::move(reader));
+        return;
+      }
+      if (last->result->status == StoreStatus::kOk) {
+        loop.post([read = last, reader = std::move(reader)] {
+          Answer(*read, reader);
+        });
+        return;
+      }
     }
-    shared_read.begun_at = now;
-    shared_read.result.reset();
+    const auto read = std::make_shared<SharedRead>(SharedRead{.begun_at = now});
+    read->readers.push_back(std::move(reader));
+    last = read;
     ExecuteCall(direct_store, {.kind = wire::StoreCall::ReadAll, .key = prefix},
-                [self = weak_from_this(), prefix](const CallResult& result) {
+                [self = weak_from_this(), read](const CallResult& result) {
                   if (const auto core = self.lock()) {
                     core->SetDirectPathDown(
                         result.status == StoreStatus::kUnknown, result.error);
-                    core->OnSharedRead(prefix, result);
+                    read->result = result;
+                    for (const auto& it : std::exchange(read->readers, {})) {
+                      Answer(*read, it);
+                    }
                   }
                 });
   }
 
-  void OnSharedRead(const std::string& prefix, const CallResult& result) {
-    auto& shared_read = shared_reads[prefix];
-    if (result.status == StoreStatus::kOk) {
-      shared_read.result = result;
-    }
-    for (const auto& it : std::exchange(shared_read.waiters, {})) {
-      it(result);
-    }
+  static void Answer(const SharedRead& read, const Reader& reader) {
+    CallResult result = *read.result;
+    result.staleness = std::max(Millis{0}, reader.arrived_at - read.begun_at);
+    reader.callback(result);
   }
 
   void CallDirectly(const PendingCallPtr& pending) {
--- a/app/relayed_store.h
+++ b/app/relayed_store.h
@@ -28,9 +28,8 @@
   // Timeout for the aggregator's response, after which the direct path is used:
   // ten times a usual response time.
   Millis aggregator_timeout{300};
-  // The result of reading a prefix is shared with all hosts that ask within
-  // this time. Draining servers must be known within 2 s, and hosts read every
-  // 0.9 s.
+  // A read of a prefix is shared with all hosts that ask within this time of
+  // its start. The result states its staleness.
   Millis shared_read_ttl{250};
   // Time for which the aggregator may defer a write, and for which it waits in
   // one watch for all hosts.
--- a/app/server_registry_reader.cc
+++ b/app/server_registry_reader.cc
@@ -31,7 +31,7 @@
     store.read_all(options.prefix, [self = weak_from_this(),
                                     read_began_at](const StoreRangeResult& it) {
       if (const auto core = self.lock()) {
-        core->OnSnapshot(read_began_at, it);
+        core->OnSnapshot(read_began_at - it.staleness, it);
       }
     });
   }
@@ -65,7 +65,7 @@
     if (unseen_time > options.late_after) {
       LogLine(LogEvent::kRegistryLate)
           .Add("unseen_ms", unseen_time)
-          .Add("read_ms", now - read_began_at)
+          .Add("snapshot_age_ms", now - read_began_at)
           .Add("store_revision", revision);
     }
     roster.OnSnapshot(DecodeAll(range.items), read_began_at, now);
--- a/app/server_registry_reader.h
+++ b/app/server_registry_reader.h
@@ -20,9 +20,10 @@
 struct ServerRegistryReaderOptions {
   // Key prefix of the entries in the store.
   std::string prefix;
-  // Time from the start of one read to the start of the next. Other hosts must
-  // know a draining server within 2 s. A watch would return many times a
-  // second, since every server changes its entry with each heartbeat.
+  // Time from the moment at which the snapshot in use was read at the store to
+  // the start of the next read; see core/registry_timing.h. A watch would
+  // return many times a second, since every server changes its entry with each
+  // heartbeat.
   Millis poll_period{900};
   // Delay before a failed read is retried.
   Millis retry_delay{200};
@@ -45,7 +46,8 @@
   ~ServerRegistryReader();
 
   void Start();
-  // Returns the start time of the last successful read, or nullopt before one.
+  // Returns the time at which the store was read for the snapshot in use, or
+  // nullopt before the first one.
   std::optional<Millis> last_read_time() const;
 
  private:
--- a/src/peer_generated.h
+++ b/src/peer_generated.h
@@ -1226,7 +1226,8 @@
     VT_VERSION = 6,
     VT_VALUE = 8,
     VT_ITEMS = 10,
-    VT_REVISION = 12
+    VT_REVISION = 12,
+    VT_STALENESS_MS = 14
   };
   crocuslatch::wire::StoreStatus status() const {
     return static_cast<crocuslatch::wire::StoreStatus>(GetField<uint8_t>(VT_STATUS, 0));
@@ -1243,6 +1244,9 @@
   uint64_t revision() const {
     return GetField<uint64_t>(VT_REVISION, 0);
   }
+  uint32_t staleness_ms() const {
+    return GetField<uint32_t>(VT_STALENESS_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_STATUS, 1) &&
@@ -1253,6 +1257,7 @@
            verifier.VerifyVector(items()) &&
            verifier.VerifyVectorOfTables(items()) &&
            VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
+           VerifyField<uint32_t>(verifier, VT_STALENESS_MS, 4) &&
            verifier.EndTable();
   }
 };
@@ -1276,6 +1281,9 @@
   void add_revision(uint64_t revision) {
     fbb_.AddElement<uint64_t>(StoreReply::VT_REVISION, revision, 0);
   }
+  void add_staleness_ms(uint32_t staleness_ms) {
+    fbb_.AddElement<uint32_t>(StoreReply::VT_STALENESS_MS, staleness_ms, 0);
+  }
   explicit StoreReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1293,10 +1301,12 @@
     uint64_t version = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> value = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocuslatch::wire::StoreItem>>> items = 0,
-    uint64_t revision = 0) {
+    uint64_t revision = 0,
+    uint32_t staleness_ms = 0) {
   StoreReplyBuilder builder_(_fbb);
   builder_.add_revision(revision);
   builder_.add_version(version);
+  builder_.add_staleness_ms(staleness_ms);
   builder_.add_items(items);
   builder_.add_value(value);
   builder_.add_status(status);
@@ -1309,7 +1319,8 @@
     uint64_t version = 0,
     const std::vector<uint8_t> *value = nullptr,
     const std::vector<flatbuffers::Offset<crocuslatch::wire::StoreItem>> *items = nullptr,
-    uint64_t revision = 0) {
+    uint64_t revision = 0,
+    uint32_t staleness_ms = 0) {
   auto value__ = value ? _fbb.CreateVector<uint8_t>(*value) : 0;
   auto items__ = items ? _fbb.CreateVector<flatbuffers::Offset<crocuslatch::wire::StoreItem>>(*items) : 0;
   return crocuslatch::wire::CreateStoreReply(
@@ -1318,7 +1329,8 @@
       version,
       value__,
       items__,
-      revision);
+      revision,
+      staleness_ms);
 }
 
 struct ServerLoad FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/store.h
+++ b/src/store.h
@@ -67,6 +67,9 @@
   std::uint64_t revision = 0;
   // Description of the error, for logs.
   std::string error;
+  // Time by which the store was read before the call was made, if the result is
+  // shared with earlier calls.
+  Millis staleness{0};
 };
 
 using StoreCallback = std::function<void(const StoreResult&)>;
--- a/tests/correctness/followers_test.cc
+++ b/tests/correctness/followers_test.cc
@@ -34,7 +34,8 @@
     store.read_all = [this](const std::string&,
                             const StoreRangeCallback& callback) {
       loop.Hooks().after(kLatency, [this, callback] {
-        callback({status, items, revision, ""});
+        callback({status, items, revision, "", staleness});
+        ++reads;
       });
     };
   }
@@ -70,7 +71,9 @@
   std::uint64_t revision = 10;
   std::uint64_t watched_after = 0;
   int gets = 0;
+  int reads = 0;
   std::vector<StoreItem> items;
+  Millis staleness{0};
 };
 
 struct Follower : Fixture {
@@ -186,6 +189,23 @@
   CHECK(counts.back() == 2);
 }
 
+// Guards against a shared snapshot that counts as new (DRAIN): the next read is
+// due one period after the store was read.
+TEST_CASE("the age of a shared snapshot shortens the time to the next read") {
+  Fixture it;
+  it.items = {{"a", 1, "ok"}};
+  it.staleness = Millis{200};
+  ServerRegistryReader reader(
+      {.prefix = "servers/", .poll_period = Millis{600}}, it.store,
+      it.loop.Hooks(), &DecodeEntry, [](const auto&) {});
+  const Millis start = it.loop.now();
+  reader.Start();
+  it.loop.RunFor(Millis{10});
+  CHECK(reader.last_read_time() == start - Millis{200});
+  it.loop.RunFor(Millis{395});
+  CHECK(it.reads == 2);
+}
+
 // Guards against a restarted process that uses again what was withdrawn before:
 // it knows nothing until the store answers, and then only the newest state.
 TEST_CASE("after a restart withdrawn keys and departed servers stay unused") {
--- a/tests/correctness/relayed_store_test.cc
+++ b/tests/correctness/relayed_store_test.cc
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include "app/server_registry_reader.h"
+#include "core/registry_timing.h"
 #include "tests/peer_host.h"
 #include "tests/run_until.h"
 
@@ -18,17 +20,23 @@
 };
 
 struct Host : PeerHost {
-  Host(std::string own, PeerAddresses* table, SharedValue* store)
+  Host(std::string own,
+       PeerAddresses* table,
+       SharedValue* store,
+       RelayedStoreOptions options = {})
       : PeerHost(std::move(own), table), shared(store) {
+    options.hedge_delay = Millis{40};
     relayed = std::make_unique<RelayedStore>(
-        RelayedStoreOptions{.hedge_delay = Millis{40}}, MakeDirectStore(), loop,
+        options, MakeDirectStore(), loop,
         RelayedStoreHooks{.peers = [this] { return Others(); },
                           .random = [] { return 0.5; },
                           .on_store_response = [this] { ++store_responses; }});
     relayed->SetNetwork(network.get());
     on_message = [this](const std::string&, const wire::Envelope& message,
                         const auto& reply) {
-      relayed->OnMessage(message, reply);
+      if (!is_silent) {
+        relayed->OnMessage(message, reply);
+      }
     };
   }
 
@@ -63,14 +71,14 @@
     };
     store.read_all = [this](const std::string&, auto callback) {
       ++shared->reads;
-      loop.after(has_path ? Millis{1} : Millis{100}, [this, callback] {
-        StoreRangeResult range;
-        if (has_path) {
-          range = {.status = StoreStatus::kOk,
-                   .items = {{"k", shared->version, shared->value}},
-                   .revision = shared->version};
-        }
-        callback(range);
+      const StoreRangeResult range{
+          .status = StoreStatus::kOk,
+          .items = {{"k", shared->version, shared->value}},
+          .revision = shared->version};
+      ++reads_open;
+      loop.after(has_path ? read_time : Millis{100}, [this, callback, range] {
+        --reads_open;
+        callback(has_path ? range : StoreRangeResult{});
       });
     };
     store.watch = [this](const std::string&, std::uint64_t, Millis wait,
@@ -119,7 +127,12 @@
 
   SharedValue* shared;
   bool has_path = true;
+  // Time that the response to a read is on its way.
+  Millis read_time{1};
+  int reads_open = 0;
   bool loses_responses = false;
+  // Peers' calls get no response.
+  bool is_silent = false;
   int store_responses = 0;
   // Calls that the aggregator responded to, and those that it did not.
   int aggregated_calls = 0;
@@ -185,6 +198,81 @@
   CHECK(it.shared.reads == 2);
 }
 
+// Guards against a stalled read whose old result is handed on as new.
+TEST_CASE("a caller gets no result that was read long before its call") {
+  Fixture it;
+  auto store = it.b.AggregatedStore("");
+  std::vector<std::uint64_t> revisions;
+  const auto read = [&](Millis read_time) {
+    it.b.read_time = read_time;
+    store.read_all("k", [&](const StoreRangeResult& range) {
+      CHECK(range.staleness <= RelayedStoreOptions{}.shared_read_ttl);
+      revisions.push_back(range.revision);
+    });
+  };
+  SECTION("by waiting for the older read") {
+    read(Millis{450});
+    RunFor(Millis{300});
+    it.b.Put("second", 5);
+    read(Millis{400});
+  }
+  SECTION("by asking after the older read has returned") {
+    read(Millis{400});
+    RunFor(Millis{300});
+    it.b.Put("second", 5);
+    read(Millis{1});
+    RunFor(Millis{150});
+    read(Millis{1});
+  }
+  REQUIRE(
+      RunUntil([&] { return revisions.size() >= 2 && it.b.reads_open == 0; }));
+  std::ranges::sort(revisions);
+  CHECK(std::ranges::count(revisions, 5) == 1);
+}
+
+// Guards against a host that takes a shared snapshot for as new as its call.
+TEST_CASE("a shared read states how old it is") {
+  Fixture it;
+  it.b.ReadAggregated("");
+  RunFor(Millis{120});
+  const auto shared = it.a.ReadAggregated("b");
+  CHECK(it.shared.reads == 1);
+  CHECK(shared.staleness >= Millis{100});
+}
+
+// Guards against requests to a server that left (DRAIN) because the delays of
+// the registry add up to the bound when the aggregator falls silent.
+TEST_CASE("a draining server is known in time when the aggregator is silent") {
+  const Millis drain{2000};
+  const auto timing = MakeRegistryTiming(drain);
+  const RelayedStoreOptions options{
+      .aggregator_timeout = timing.aggregator_timeout,
+      .shared_read_ttl = timing.shared_read_ttl};
+  PeerAddresses addresses;
+  SharedValue shared{.version = 5, .value = "ready"};
+  Host host("a", &addresses, &shared, options);
+  Host aggregator("b", &addresses, &shared, options);
+  std::optional<std::string> known;
+  ServerRegistryReader reader(
+      {.prefix = "k", .poll_period = timing.poll_period},
+      host.AggregatedStore("b"), host.loop,
+      [](std::string_view, std::string_view value) {
+        return std::optional(BackendEntry{.id = std::string(value)});
+      },
+      [&](const auto& entries) { known = entries.front().id; });
+  // The first snapshot is one that the aggregator has read for itself before.
+  aggregator.ReadAggregated("");
+  shared.value = "draining";
+  ++shared.version;
+  const Millis draining_at = host.loop.now();
+  RunFor(timing.shared_read_ttl - Millis{50});
+  reader.Start();
+  REQUIRE(RunUntil([&] { return known == "ready"; }));
+  aggregator.is_silent = true;
+  REQUIRE(RunUntil([&] { return known == "draining"; }));
+  CHECK(host.loop.now() - draining_at < drain / 2);
+}
+
 // Guards against a host that cannot read or write because the aggregator is
 // dead or has no path to the store.
 TEST_CASE("a host falls back if the aggregator does not respond") {
