Let entries of the server registry only advance

Cause: pages of the registry are read at different moments, and only the revision of the first page was compared with the last

A heartbeat that was written before the draining and took effect after it did the same.

--- a/app/server_registry_reader.cc
+++ b/app/server_registry_reader.cc
@@ -68,7 +68,8 @@
           .Add("snapshot_age_ms", now - read_began_at)
           .Add("store_revision", revision);
     }
-    roster.OnSnapshot(DecodeAll(range.items), read_began_at, now);
+    roster.OnSnapshot(DecodeAll(range.items), range.revision, read_began_at,
+                      now);
     const auto entries = roster.Entries();
     LogChanges(entries, unseen_time);
     on_entries(entries);
@@ -79,6 +80,7 @@
     std::vector<BackendEntry> entries;
     for (const auto& it : items) {
       if (auto entry = decode(it.key, it.value)) {
+        entry->store_version = it.version;
         entries.push_back(*std::move(entry));
         damaged_keys.erase(it.key);
       } else if (damaged_keys.insert(it.key).second) {
--- a/core/backend_entry.h
+++ b/core/backend_entry.h
@@ -1,6 +1,7 @@
 #ifndef CORE_BACKEND_ENTRY_H_
 #define CORE_BACKEND_ENTRY_H_
 
+#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -26,6 +27,8 @@
   // different value under the same id means that the server has restarted and
   // lost its state.
   std::optional<std::int64_t> start_time_ms;
+  // Version of the entry in the store; 0 if unknown.
+  std::uint64_t store_version = 0;
   bool operator==(const BackendEntry&) const = default;
 };
 
--- a/core/server_roster.cc
+++ b/core/server_roster.cc
@@ -1,22 +1,59 @@
 #include "core/server_roster.h"
 
 namespace crocuslatch {
+namespace {
+
+bool IsSameProcess(const BackendEntry& a, const BackendEntry& b) {
+  return a.start_time_ms && a.start_time_ms == b.start_time_ms;
+}
+
+bool IsOlder(const BackendEntry& a, const BackendEntry& b) {
+  return a.store_version != 0 && a.store_version < b.store_version;
+}
+
+}  // namespace
 
 ServerRoster::ServerRoster(ServerRosterOptions options) : options_(options) {}
 
+std::optional<BackendEntry> ServerRoster::Advance(
+    const BackendEntry& entry) const {
+  BackendEntry next = entry;
+  if (const auto known = entries_.find(entry.id); known != entries_.end()) {
+    if (IsOlder(entry, known->second)) {
+      return known->second;
+    }
+    // A heartbeat that was delayed on its way overwrites the newer state.
+    next.is_draining |=
+        known->second.is_draining && IsSameProcess(entry, known->second);
+  }
+  if (const auto left = departed_.find(entry.id); left != departed_.end()) {
+    const auto& last = left->second.entry;
+    const bool is_rewritten =
+        entry.store_version == 0 || entry.store_version > last.store_version;
+    if (!is_rewritten) {
+      return std::nullopt;
+    }
+    next.is_draining |= last.is_draining && IsSameProcess(entry, last);
+  }
+  return next;
+}
+
 void ServerRoster::OnSnapshot(const std::vector<BackendEntry>& entries,
-                              Millis requested_at,
+                              std::uint64_t revision,
+                              Millis read_at,
                               Millis now) {
   if (last_snapshot_time_ &&
-      requested_at - *last_snapshot_time_ > options_.outage_threshold) {
+      read_at - *last_snapshot_time_ > options_.outage_threshold) {
     outage_ended_ = now;
   }
-  last_snapshot_time_ = requested_at;
+  last_snapshot_time_ = read_at;
   const bool is_after_outage =
       outage_ended_ && now - *outage_ended_ < options_.reregistration_grace;
   std::map<std::string, BackendEntry> next;
   for (const auto& it : entries) {
-    next.emplace(it.id, it);
+    if (auto entry = Advance(it)) {
+      next.emplace(it.id, *std::move(entry));
+    }
   }
   added_.clear();
   removed_.clear();
@@ -29,6 +66,11 @@
     if (next.contains(id)) {
       continue;
     }
+    if (entry.store_version > revision) {
+      // The entry was written after its page was read.
+      next.emplace(id, entry);
+      continue;
+    }
     const auto kept = kept_until_.find(id);
     // A draining server is not expected to register again.
     const bool is_kept = kept != kept_until_.end()
@@ -36,6 +78,7 @@
                              : is_after_outage && !entry.is_draining;
     if (!is_kept) {
       removed_.push_back(id);
+      departed_[id] = {entry, now};
       continue;
     }
     if (kept == kept_until_.end()) {
@@ -50,6 +93,10 @@
     kept_until_.erase(it.id);
   }
   entries_ = std::move(next);
+  std::erase_if(departed_, [&](const auto& it) {
+    return entries_.contains(it.first) ||
+           now - it.second.departed_at > options_.departed_memory;
+  });
 }
 
 std::vector<BackendEntry> ServerRoster::Entries() const {
--- a/core/server_roster.h
+++ b/core/server_roster.h
@@ -1,6 +1,7 @@
 #ifndef CORE_SERVER_ROSTER_H_
 #define CORE_SERVER_ROSTER_H_
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -15,6 +16,10 @@
 // Entries expire during an outage of the registry, and live servers register
 // again soon after it. Servers that are missing from the first snapshots after
 // an outage are therefore kept for a grace period.
+//
+// A snapshot is read in pages at different moments and may be relayed, so that
+// a part of it can be older than what is known. Each entry therefore only
+// advances, and a process that was draining never becomes ready again.
 
 namespace crocuslatch {
 
@@ -23,16 +28,20 @@
   Millis outage_threshold{2500};
   // Time within which live servers register again after an outage.
   Millis reregistration_grace{2000};
+  // Time for which a removed entry is remembered. Relayed snapshots and delayed
+  // writes are seconds old.
+  Millis departed_memory{60000};
 };
 
 class ServerRoster {
  public:
   explicit ServerRoster(ServerRosterOptions options);
 
-  // A snapshot of the registry has arrived; it was requested at
-  // `requested_at`.
+  // A snapshot of the registry has arrived; the store was read at `read_at`.
+  // Every page reflects `revision` of the store or a later one.
   void OnSnapshot(const std::vector<BackendEntry>& entries,
-                  Millis requested_at,
+                  std::uint64_t revision,
+                  Millis read_at,
                   Millis now);
 
   // Returns the servers to use, ordered by id.
@@ -40,14 +49,26 @@
   // Ids of the servers that the last snapshot added and removed.
   const std::vector<std::string>& added() const { return added_; }
   const std::vector<std::string>& removed() const { return removed_; }
-  // Time at which the last snapshot was requested; nullopt before the first.
+  // Time at which the store was read for the last snapshot; nullopt before the
+  // first.
   std::optional<Millis> last_snapshot_time() const {
     return last_snapshot_time_;
   }
 
  private:
+  // A server whose entry was removed.
+  struct Departed {
+    BackendEntry entry;
+    Millis departed_at{0};
+  };
+
+  // Returns the entry as far as it is newer than what is known of its server,
+  // or nullopt if the server has left since the entry was written.
+  std::optional<BackendEntry> Advance(const BackendEntry& entry) const;
+
   const ServerRosterOptions options_;
   std::map<std::string, BackendEntry> entries_;
+  std::map<std::string, Departed> departed_;
   // Servers that have been missing since an outage, and until when to keep
   // them.
   std::map<std::string, Millis> kept_until_;
--- a/tests/correctness/server_roster_test.cc
+++ b/tests/correctness/server_roster_test.cc
@@ -8,6 +8,8 @@
 const std::vector<BackendEntry> kBoth{{.id = "a"}, {.id = "b"}};
 const std::vector<BackendEntry> kOnlyA{{.id = "a"}};
 
+constexpr std::uint64_t kRevision = 100;
+
 std::size_t Count(const ServerRoster& roster) {
   return roster.Entries().size();
 }
@@ -17,8 +19,8 @@
 // Guards against new requests to a server whose entry was removed.
 TEST_CASE("a server whose entry disappears is dropped at once") {
   ServerRoster roster({});
-  roster.OnSnapshot(kBoth, Millis{0}, Millis{5});
-  roster.OnSnapshot(kOnlyA, Millis{500}, Millis{505});
+  roster.OnSnapshot(kBoth, kRevision, Millis{0}, Millis{5});
+  roster.OnSnapshot(kOnlyA, kRevision, Millis{500}, Millis{505});
   CHECK(Count(roster) == 1);
   CHECK(roster.removed() == std::vector<std::string>{"b"});
 }
@@ -28,25 +30,89 @@
 TEST_CASE("servers whose entries expired in an outage get a grace period") {
   ServerRosterOptions options;
   ServerRoster roster(options);
-  roster.OnSnapshot(kBoth, Millis{0}, Millis{5});
+  roster.OnSnapshot(kBoth, kRevision, Millis{0}, Millis{5});
   const Millis back{9000};
-  roster.OnSnapshot({}, back, back + Millis{5});
+  roster.OnSnapshot({}, kRevision, back, back + Millis{5});
   CHECK(Count(roster) == 2);
   SECTION("one server registers again, the other does not") {
-    roster.OnSnapshot(kOnlyA, back + Millis{1000}, back + Millis{1005});
+    roster.OnSnapshot(kOnlyA, kRevision, back + Millis{1000},
+                      back + Millis{1005});
     CHECK(Count(roster) == 2);
     const Millis late = back + options.reregistration_grace + Millis{10};
-    roster.OnSnapshot(kOnlyA, late, late);
+    roster.OnSnapshot(kOnlyA, kRevision, late, late);
     CHECK(Count(roster) == 1);
   }
   SECTION("a draining server gets no grace period") {
     ServerRoster other(options);
     auto draining = kBoth;
     draining[1].is_draining = true;
-    other.OnSnapshot(draining, Millis{0}, Millis{5});
-    other.OnSnapshot(kOnlyA, back, back);
+    other.OnSnapshot(draining, kRevision, Millis{0}, Millis{5});
+    other.OnSnapshot(kOnlyA, kRevision, back, back);
     CHECK(Count(other) == 1);
   }
 }
 
+// Guards against requests to a server that has left (DRAIN): the last page of a
+// snapshot may be older than that of the one before, although its first page is
+// newer.
+TEST_CASE("a snapshot with an older page brings no departed server back") {
+  ServerRoster roster({});
+  const BackendEntry ready{.id = "b", .store_version = 90};
+  BackendEntry draining = ready;
+  draining.is_draining = true;
+  draining.store_version = 103;
+  roster.OnSnapshot({ready}, 95, Millis{0}, Millis{5});
+  roster.OnSnapshot({draining}, 100, Millis{500}, Millis{505});
+  SECTION("while it drains") {
+    roster.OnSnapshot({ready}, 101, Millis{1000}, Millis{1005});
+    REQUIRE(Count(roster) == 1);
+    CHECK(roster.Entries().front().is_draining);
+  }
+  SECTION("after its entry was removed") {
+    roster.OnSnapshot({}, 110, Millis{1000}, Millis{1005});
+    CHECK(Count(roster) == 0);
+    roster.OnSnapshot({draining}, 111, Millis{1500}, Millis{1505});
+    CHECK(Count(roster) == 0);
+    // It registers again.
+    BackendEntry again = ready;
+    again.store_version = 120;
+    roster.OnSnapshot({again}, 121, Millis{2000}, Millis{2005});
+    CHECK(Count(roster) == 1);
+  }
+}
+
+// Guards against refusing work for want of a server that has just registered.
+TEST_CASE("a server that is newer than the snapshot's page stays") {
+  ServerRoster roster({});
+  roster.OnSnapshot({{.id = "b", .store_version = 103}}, 100, Millis{0},
+                    Millis{5});
+  roster.OnSnapshot({}, 101, Millis{500}, Millis{505});
+  CHECK(Count(roster) == 1);
+  roster.OnSnapshot({}, 104, Millis{1000}, Millis{1005});
+  CHECK(Count(roster) == 0);
+}
+
+// Guards against a heartbeat that was written before the server began to drain
+// and takes effect after it (DRAIN).
+TEST_CASE("a draining process stays draining whatever its entry says later") {
+  ServerRoster roster({});
+  BackendEntry entry{.id = "b", .start_time_ms = 7, .store_version = 10};
+  const auto write = [&](bool is_draining, std::uint64_t version) {
+    entry.is_draining = is_draining;
+    entry.store_version = version;
+    const Millis now{static_cast<Millis::rep>(version) * 10};
+    roster.OnSnapshot({entry}, version, now, now);
+    return roster.Entries().front().is_draining;
+  };
+  CHECK_FALSE(write(false, 10));
+  CHECK(write(true, 11));
+  CHECK(write(false, 12));
+  roster.OnSnapshot({}, 13, Millis{130}, Millis{130});
+  CHECK(Count(roster) == 0);
+  CHECK(write(false, 14));
+  // A new process under the same id.
+  entry.start_time_ms = 8;
+  CHECK_FALSE(write(false, 15));
+}
+
 }  // namespace crocuslatch
