Keep missing servers after an outage only if most of a service's entries are gone

Where drain_ms is 3000 the old period was 1200 ms, so that one read of 1.3 s was enough: period, read and grace are 4.5 s. Class: a belief about the store's state drawn from the host's own blindness.

Change: servers are kept only if more than half of their service's known servers are missing, which is what an outage of the store does and a release, a scale-in or a crash within some seconds does not; and a gap counts from two periods on. Servers that were dropped wrongly come back with their next heartbeat.

--- a/app/server_registry_reader.cc
+++ b/app/server_registry_reader.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 #include <fmt/ranges.h>
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -12,12 +13,24 @@
 
 struct ServerRegistryReader::Core
     : std::enable_shared_from_this<ServerRegistryReader::Core> {
-  ServerRegistryReaderOptions options;
+  explicit Core(ServerRegistryReaderOptions reader_options)
+      : options(std::move(reader_options)),
+        roster(RosterOptions(options.poll_period)) {}
+
+  // Two late reads in a row are no outage.
+  static ServerRosterOptions RosterOptions(Millis poll_period) {
+    ServerRosterOptions roster_options;
+    roster_options.outage_threshold =
+        std::max(roster_options.outage_threshold, 2 * poll_period);
+    return roster_options;
+  }
+
+  const ServerRegistryReaderOptions options;
   Store store;
   EventLoop loop;
   Decode decode;
   OnEntries on_entries;
-  ServerRoster roster{ServerRosterOptions{}};
+  ServerRoster roster;
   // Keys of entries that could not be decoded, so that each is logged only
   // once.
   std::set<std::string> damaged_keys;
@@ -130,8 +143,7 @@
                                            EventLoop loop,
                                            Decode decode,
                                            OnEntries on_entries)
-    : core_(std::make_shared<Core>()) {
-  core_->options = std::move(options);
+    : core_(std::make_shared<Core>(std::move(options))) {
   core_->store = std::move(store);
   core_->loop = std::move(loop);
   core_->decode = std::move(decode);
--- a/core/server_roster.cc
+++ b/core/server_roster.cc
@@ -1,5 +1,7 @@
 #include "core/server_roster.h"
 
+#include <algorithm>
+
 namespace crocuslatch {
 namespace {
 
@@ -11,6 +13,15 @@
   return a.store_version != 0 && a.store_version < b.store_version;
 }
 
+std::map<std::string, std::ptrdiff_t> CountByService(
+    const std::vector<BackendEntry>& entries) {
+  std::map<std::string, std::ptrdiff_t> counts;
+  for (const auto& it : entries) {
+    ++counts[it.service];
+  }
+  return counts;
+}
+
 }  // namespace
 
 ServerRoster::ServerRoster(ServerRosterOptions options) : options_(options) {}
@@ -38,6 +49,15 @@
   return next;
 }
 
+bool ServerRoster::HasLapsed(const std::string& service,
+                             const ServiceCounts& present) const {
+  const auto known = std::ranges::count(
+      entries_, service, [](const auto& it) { return it.second.service; });
+  const auto found = present.find(service);
+  const auto left = found == present.end() ? 0 : found->second;
+  return 2 * left < known;
+}
+
 void ServerRoster::OnSnapshot(const std::vector<BackendEntry>& entries,
                               std::uint64_t revision,
                               Millis read_at,
@@ -49,6 +69,7 @@
   last_snapshot_time_ = read_at;
   const bool is_after_outage =
       outage_ended_ && now - *outage_ended_ < options_.reregistration_grace;
+  const auto present = CountByService(entries);
   std::map<std::string, BackendEntry> next;
   for (const auto& it : entries) {
     if (auto entry = Advance(it)) {
@@ -75,7 +96,8 @@
     // A draining server is not expected to register again.
     const bool is_kept = kept != kept_until_.end()
                              ? now < kept->second
-                             : is_after_outage && !entry.is_draining;
+                             : is_after_outage && !entry.is_draining &&
+                                   HasLapsed(entry.service, present);
     if (!is_kept) {
       removed_.push_back(id);
       departed_[id] = {entry, now};
--- a/core/server_roster.h
+++ b/core/server_roster.h
@@ -1,6 +1,7 @@
 #ifndef CORE_SERVER_ROSTER_H_
 #define CORE_SERVER_ROSTER_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -15,7 +16,10 @@
 //
 // Entries expire during an outage of the registry, and live servers register
 // again soon after it. Servers that are missing from the first snapshots after
-// an outage are therefore kept for a grace period.
+// an outage are therefore kept for a grace period. A host that could not read
+// for a while cannot tell such an outage from a failure of its own path, in
+// which live servers kept their entries; it takes it for an outage only if more
+// than half of a service's servers are missing.
 //
 // A snapshot is read in pages at different moments and may be relayed, so that
 // a part of it can be older than what is known. Each entry therefore only
@@ -62,6 +66,12 @@
     Millis departed_at{0};
   };
 
+  using ServiceCounts = std::map<std::string, std::ptrdiff_t>;
+
+  // True if so few of the service's known servers are present that their
+  // entries must have expired together.
+  bool HasLapsed(const std::string& service,
+                 const ServiceCounts& present) const;
   // Returns the entry as far as it is newer than what is known of its server,
   // or nullopt if the server has left since the entry was written.
   std::optional<BackendEntry> Advance(const BackendEntry& entry) const;
--- a/tests/correctness/server_roster_test.cc
+++ b/tests/correctness/server_roster_test.cc
@@ -52,6 +52,17 @@
   }
 }
 
+// Guards against requests to a server that has left (DRAIN) while only this
+// host could not read the registry.
+TEST_CASE("a server that left while the host was cut off is dropped at once") {
+  ServerRoster roster({});
+  const std::vector<BackendEntry> all{{.id = "a"}, {.id = "b"}, {.id = "c"}};
+  roster.OnSnapshot(all, kRevision, Millis{0}, Millis{5});
+  const Millis back{3600};
+  roster.OnSnapshot({all[0], all[1]}, kRevision, back, back);
+  CHECK(roster.removed() == std::vector<std::string>{"c"});
+}
+
 // Guards against requests to a server that has left (DRAIN): the last page of a
 // snapshot may be older than that of the one before, although its first page is
 // newer.
