Check again that a server stays before a request is sent on a new connection

Change: HttpHooks::may_send is asked when the new connection is up; if the server is draining or gone, nothing is sent (kNotSent) and the request goes to another server.

--- a/app/forwarding.cc
+++ b/app/forwarding.cc
@@ -341,7 +341,12 @@
          .connect_timeout = std::min(kConnectTimeout, remaining),
          .first_byte_timeout = remaining,
          .stall_timeout = remaining},
-        {.accepts_response =
+        {.may_send =
+             [self = shared_from_this()] {
+               return !self->context_->placement->IsDrainingOrGone(
+                   self->server_id_);
+             },
+         .accepts_response =
              [id = caller_.request_id](int status, const HttpHeaders& it) {
                const auto response = platform::DecodeServerResponse(status, it);
                return response.request_id == id ||
--- a/io/http_client.cc
+++ b/io/http_client.cc
@@ -243,9 +243,15 @@
   }
 
   void OnConnected() {
-    if (call_) {
-      WriteRequest();
+    if (!call_) {
+      return;
+    }
+    const auto hooks = call_->hooks;
+    if (hooks->may_send && !hooks->may_send()) {
+      Finish(HttpResult::kNotSent);
+      return;
     }
+    WriteRequest();
   }
 
   void WriteRequest() {
--- a/io/http_client.h
+++ b/io/http_client.h
@@ -35,7 +35,7 @@
   // The complete response was received, whatever its status.
   kComplete,
   // No byte of the request was sent: the connection was refused or was not
-  // established in time.
+  // established in time, or `may_send` returned false.
   kNotSent,
   // The connection broke or an invalid response arrived after the request may
   // have been delivered.
@@ -51,6 +51,10 @@
 std::string_view ToString(HttpResult end);
 
 struct HttpHooks {
+  // Asked before the request is sent on a connection that was established for
+  // it, since the reasons for sending it may have changed meanwhile. If it
+  // returns false, the request ends with kNotSent.
+  std::function<bool()> may_send;
   // Decides whether a response belongs to this request. A response that does
   // not, such as a late second response to an earlier request, is skipped, and
   // the connection is not reused. Without this hook, every response is
--- a/tests/correctness/forwarding_test.cc
+++ b/tests/correctness/forwarding_test.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 #include "tests/forwarding_fixture.h"
@@ -228,4 +229,32 @@
   CHECK(tried == 4);
 }
 
+// Guards against a request to a server that began to drain while the connection
+// to it was established (DRAIN).
+TEST_CASE("a server that drains before the connection is up gets no request") {
+  Fixture it;
+  std::vector<BackendEntry> entries;
+  for (const auto& view : it.placement.View(Millis{0})) {
+    entries.push_back(view.entry);
+  }
+  std::string draining;
+  it.placement.OnLoadChange([&] {
+    const auto loads = it.placement.View(Millis{0});
+    const auto busy = std::ranges::find_if(
+        loads, [](const auto& view) { return view.in_flight > 0; });
+    if (!draining.empty() || busy == loads.end()) {
+      return;
+    }
+    draining = busy->entry.id;
+    for (auto& entry : entries) {
+      entry.is_draining = entry.id == draining;
+    }
+    it.placement.SetServers(entries, Millis{0});
+  });
+  CHECK(it.SendAndWait(it.Request("POST", "/order/1")).status == 200);
+  REQUIRE(it.received.size() == 1);
+  CHECK(FindHeader(it.received[0].headers, "Crocuslatch-Expect-Replica") !=
+        draining);
+}
+
 }  // namespace crocuslatch
--- a/tests/error/http_client_test.cc
+++ b/tests/error/http_client_test.cc
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 #include <map>
+#include <optional>
 
 #include "io/http_server.h"
 #include "tests/raw_server.h"
@@ -295,4 +296,20 @@
   CHECK(result->end == HttpResult::kCancelled);
 }
 
+// Guards against a request whose reasons are gone when the connection for it is
+// established.
+TEST_CASE("a request that may no longer be sent leaves no byte") {
+  int deliveries = 0;
+  RawServer server([&](QTcpSocket&, const QByteArray&) { ++deliveries; });
+  HttpClient client;
+  std::optional<HttpResult> result;
+  client.Send({.method = "POST", .url = server.Url(), .body = "bread"},
+              {.may_send = [] { return false; },
+               .on_end = [&](HttpResult end) { result = end; }});
+  REQUIRE(RunUntil([&] { return result.has_value(); }));
+  RunFor(Millis{50});
+  CHECK(*result == HttpResult::kNotSent);
+  CHECK(deliveries == 0);
+}
+
 }  // namespace crocuslatch
