Quarantine prompt parts that crash backend servers, on all hosts

Cause: a broken connection was evidence against the server only. Class: a fault of the request that is taken for one of the server (query of death).

Change: core/crash_evidence weighs parts of requests whose response had a head and no event (2), or no response (1), when their server broke the connection and then refuses a probe's; six in crashes at different moments, without a served request in between, quarantine the part for ten minutes after the last crash. A part that any host serves is cleared on all. Reports travel through the store (crashes/HOST, one shared watch), since hosts may be cut from each other. Requests with the part get 503 with Retry-After before tokens are reserved, 502 if a server has had them; nothing more is sent, also not on connections that are being opened. A shared watch lasts as long as its longest waiter asks.

--- a/app/forwarding.cc
+++ b/app/forwarding.cc
@@ -123,6 +123,9 @@
       }
     });
     context_->retry_budget->CountRequest(service_, arrived_at_);
+    if (FailIfQuarantined()) {
+      return;
+    }
     if (!Reserve()) {
       Dispatch();
     }
@@ -271,7 +274,32 @@
     return caller_.work ? &*caller_.work : nullptr;
   }
 
+  std::optional<PromptQuarantine::Verdict> Verdict() const {
+    return context_->quarantine != nullptr && caller_.work
+               ? context_->quarantine->Find(*caller_.work)
+               : std::nullopt;
+  }
+
+  // Ends the request if its prompt has a part that crashes servers.
+  bool FailIfQuarantined() {
+    const auto verdict = Verdict();
+    if (!verdict) {
+      return false;
+    }
+    const std::string code = "prompt_quarantined";
+    const auto message = fmt::format(
+        "part {} of the prompt has crashed several backend servers and is not "
+        "sent to others",
+        verdict->part);
+    Fail(may_have_run_ ? OutcomeUnknown(kBadGateway, code, message)
+                       : Unavailable(code, message, verdict->left));
+    return true;
+  }
+
   void Dispatch() {
+    if (FailIfQuarantined()) {
+      return;
+    }
     const Millis now = context_->loop.now();
     if (deadline_ - now < kMinTimeLeft) {
       OnDeadline();
@@ -294,6 +322,8 @@
     }
     ++attempts_;
     server_id_ = choice->server_id;
+    server_address_ = choice->address;
+    has_event_ = false;
     tried_servers_.insert(server_id_);
     dispatch_id_ = context_->placement->Begin(server_id_, work(), now);
     dispatched_at_ = now;
@@ -343,8 +373,9 @@
          .stall_timeout = remaining},
         {.may_send =
              [self = shared_from_this()] {
-               return !self->context_->placement->IsDrainingOrGone(
-                   self->server_id_);
+               return !self->Verdict() &&
+                      !self->context_->placement->IsDrainingOrGone(
+                          self->server_id_);
              },
          .accepts_response =
              [id = caller_.request_id](int status, const HttpHeaders& it) {
@@ -455,6 +486,7 @@
       ++event_count_;
       last_event_at_ = context_->loop.now();
       last_event_id_ = event.id;
+      OnServed();
       StartStream();
       if (first_event_at_.count() == 0) {
         first_event_at_ = context_->loop.now();
@@ -472,6 +504,24 @@
     }
   }
 
+  // The server survives the beginning of its response to this prompt.
+  void OnServed() {
+    if (!std::exchange(has_event_, true) && context_->quarantine != nullptr &&
+        caller_.work) {
+      context_->quarantine->OnServed(*caller_.work);
+    }
+  }
+
+  // Reports a connection that broke before the response had an event.
+  void ReportBroken(HttpResult end) const {
+    if (end == HttpResult::kBroken && !has_event_ &&
+        context_->quarantine != nullptr && caller_.work) {
+      context_->quarantine->OnBrokenResponse(server_id_, server_address_,
+                                             *caller_.work,
+                                             IsSuccess(status_) && is_sealed_);
+    }
+  }
+
   void StartStream() {
     if (!is_streaming_) {
       is_streaming_ = true;
@@ -484,6 +534,10 @@
     const bool may_have_run =
         end != HttpResult::kNotSent && !(is_complete && not_executed_);
     may_have_run_ = may_have_run_ || may_have_run;
+    ReportBroken(end);
+    if (is_complete && IsSuccess(status_) && is_sealed_) {
+      OnServed();
+    }
     if (is_complete && IsStreamingResponse() &&
         !event_splitter_.has_partial_event()) {
       EndDispatch(DispatchResult::kServed, end);
@@ -748,6 +802,9 @@
   std::optional<Placement::DispatchId> dispatch_id_;
   HttpCall call_;
   std::string server_id_;
+  std::string server_address_;
+  // The response has had an event, or was complete.
+  bool has_event_ = false;
   Millis dispatched_at_{0};
   int status_ = 0;
   bool is_sealed_ = false;
--- a/app/forwarding.h
+++ b/app/forwarding.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 
+#include "app/prompt_quarantine.h"
 #include "app/token_loans.h"
 #include "core/desired_state.h"
 #include "core/placement.h"
@@ -43,6 +44,8 @@
   Placement* placement = nullptr;
   RetryBudget* retry_budget = nullptr;
   Metrics* metrics = nullptr;
+  // May be null.
+  PromptQuarantine* quarantine = nullptr;
   // Returns the active routing table, or null until the first one is loaded.
   std::function<RoutingTablePointer()> routing_table;
   // Reserves tokens of a client account, waiting at most `wait`; see
--- a/app/front.cc
+++ b/app/front.cc
@@ -13,6 +13,7 @@
 #include "app/holder_recovery.h"
 #include "app/host_directory.h"
 #include "app/load_broadcast.h"
+#include "app/prompt_quarantine.h"
 #include "app/relayed_store.h"
 #include "app/server_registry_reader.h"
 #include "app/stamp_writer.h"
@@ -73,6 +74,10 @@
 // are known; if each host wrote for itself, most writes would conflict.
 constexpr Millis kRecoveryDelay{150};
 constexpr std::string_view kHostsPrefix = "hosts/";
+constexpr std::string_view kCrashesPrefix = "crashes/";
+// Timeout for a connection to a server that may have crashed, and for its
+// response.
+constexpr Millis kCrashProbeTimeout{300};
 constexpr std::string_view kSecretKey = "fleet/secret";
 // Number of 64-bit words: 256 bits.
 constexpr int kSecretWords = 4;
@@ -186,6 +191,8 @@
   Metrics metrics_registry;
   HttpClient store_client;
   HttpClient client;
+  // Keeps no connections, since a probe must open a new one.
+  HttpClient probe_client{{.max_idle_time = Millis{0}}};
   RelayedStore relayed_store;
   Store store;
   Store aggregated_store;
@@ -199,6 +206,7 @@
   std::unique_ptr<DesiredStateFollower> follower;
   std::unique_ptr<ServerRegistryReader> server_registry;
   std::unique_ptr<HostDirectory> hosts;
+  std::unique_ptr<PromptQuarantine> quarantine;
   std::unique_ptr<PeerNetwork> peer_network;
   std::unique_ptr<TokenLoans> token_loans;
   std::unique_ptr<LoadBroadcast> load_broadcast;
@@ -338,6 +346,22 @@
         });
   }
 
+  // Passes whether the server accepts no connections.
+  void ProbeServer(const std::string& address,
+                   std::function<void(bool is_down)> callback) {
+    probe_client.SendAndCollect(
+        {.method = "GET",
+         .url =
+             fmt::format("http://{}{}", address, platform::kServerReportPath),
+         .connect_timeout = kCrashProbeTimeout,
+         .first_byte_timeout = kCrashProbeTimeout,
+         .stall_timeout = kCrashProbeTimeout},
+        [callback = std::move(callback)](
+            HttpResult end, int, const HttpHeaders&, const std::string&) {
+          callback(end == HttpResult::kNotSent);
+        });
+  }
+
   RelayedStoreHooks MakeRelayedStoreHooks() {
     return {.peers = [this] { return hosts->OtherHosts(); },
             .random = &RandomDouble,
@@ -359,6 +383,17 @@
         HostDirectoryOptions{.prefix = std::string(kHostsPrefix),
                              .own_host = settings.host_name},
         aggregated_store, loop);
+    quarantine = std::make_unique<PromptQuarantine>(
+        PromptQuarantineOptions{.prefix = std::string(kCrashesPrefix),
+                                .own_host = settings.host_name,
+                                .incarnation = ToString(holder)},
+        aggregated_store, loop,
+        PromptQuarantineHooks{
+            .probe =
+                [this](const std::string& address, auto callback) {
+                  ProbeServer(address, std::move(callback));
+                },
+            .wall_now = &WallNow});
     StartGrants();
     StartContext();
     follower = std::make_unique<DesiredStateFollower>(
@@ -405,6 +440,7 @@
     follower->Start();
     server_registry->Start();
     hosts->Start();
+    quarantine->Start();
     ReadSecret();
     loop_lag.OnTick(loop.now());
     TickLater();
@@ -710,6 +746,7 @@
       grants->Settle(account, reserved, {key, used});
     };
     context->metrics = &metrics_registry;
+    context->quarantine = quarantine.get();
     context->random = &RandomDouble;
   }
 
--- a/app/shared_watch.cc
+++ b/app/shared_watch.cc
@@ -11,6 +11,7 @@
   struct Waiter {
     std::uint64_t id = 0;
     std::uint64_t after = 0;
+    Millis wait{0};
     StoreRangeCallback callback;
   };
 
@@ -61,7 +62,7 @@
       return;
     }
     const auto id = ++last_waiter_id;
-    prefix.waiters.push_back({id, after, callback});
+    prefix.waiters.push_back({id, after, wait, callback});
     loop.after(wait, [self = weak_from_this(), name, id] {
       if (const auto core = self.lock()) {
         core->OnWaitOver(name, id);
@@ -88,7 +89,13 @@
   }
 
   void Run(const std::string& name) {
-    store.watch(name, prefixes.at(name).revision, options.wait,
+    const auto& prefix = prefixes.at(name);
+    const auto longest =
+        std::ranges::max_element(prefix.waiters, {}, &Waiter::wait);
+    const Millis wait = longest == prefix.waiters.end()
+                            ? options.wait
+                            : std::max(options.wait, longest->wait);
+    store.watch(name, prefix.revision, wait,
                 [self = weak_from_this(), name](const StoreRangeResult& it) {
                   if (const auto core = self.lock()) {
                     core->OnResult(name, it);
--- a/app/shared_watch.h
+++ b/app/shared_watch.h
@@ -17,8 +17,8 @@
 namespace crocuslatch {
 
 struct SharedWatchOptions {
-  // Duration of one watch of the store. Limits how long a connection that went
-  // silent can hide a change.
+  // Least duration of one watch of the store; it lasts as long as the longest
+  // wait of those who wait when it begins.
   Millis wait{1000};
 };
 
--- a/src/log.cc
+++ b/src/log.cc
@@ -119,6 +119,9 @@
       {LogEvent::kServersChanged, LogLevel::kInfo, "servers_changed"},
       {LogEvent::kServerAvoided, LogLevel::kWarning, "server_avoided"},
       {LogEvent::kRegistryLate, LogLevel::kWarning, "registry_late"},
+      {LogEvent::kServerCrashed, LogLevel::kWarning, "server_crashed"},
+      {LogEvent::kPromptQuarantined, LogLevel::kError, "prompt_quarantined"},
+      {LogEvent::kPromptReleased, LogLevel::kWarning, "prompt_released"},
   };
   return kCatalogue;
 }
--- a/src/log.h
+++ b/src/log.h
@@ -78,6 +78,9 @@
   kServersChanged = 705,
   kServerAvoided = 706,
   kRegistryLate = 707,
+  kServerCrashed = 708,
+  kPromptQuarantined = 709,
+  kPromptReleased = 710,
 };
 
 struct LogEventInfo {
--- a/tests/correctness/forwarding_test.cc
+++ b/tests/correctness/forwarding_test.cc
@@ -257,4 +257,51 @@
         draining);
 }
 
+// Guards against sending a prompt on that crashes servers (BUDGET), against an
+// answer that says "not run" after the last crash, and against refusing others.
+TEST_CASE("a prompt that crashed three servers is refused without being sent") {
+  Fixture it;
+  Store store;
+  store.put = [](const auto&, const auto&, auto, const auto&) {};
+  PromptQuarantine quarantine(
+      {.prefix = "crashes/", .own_host = "h", .incarnation = "h/1"}, store,
+      it.context->loop,
+      {.probe = [](const auto&, const auto& callback) { callback(true); },
+       .wall_now = [] { return Millis{0}; }});
+  it.context->quarantine = &quarantine;
+  const auto request = [&](const std::string& parts) {
+    auto all = it.Request("POST", "/stream/1");
+    for (auto& [name, value] : all.headers) {
+      value = name == "Crocuslatch-Prompt-Prefix" ? parts : value;
+    }
+    return all;
+  };
+  // The server breaks the connection between the head and the first event.
+  it.respond = [](const IncomingRequest& got, HttpReply reply) {
+    const auto parts = FindHeader(got.headers, "Crocuslatch-Prompt-Prefix");
+    reply.StartStream(200, Fixture::Sealed());
+    if (parts.starts_with("dead")) {
+      RunFor(Millis{20});
+      reply.Abort();
+    } else {
+      reply.Write("id: 1\ndata: x\n\n");
+      reply.EndStream();
+    }
+  };
+  const auto window = CrashEvidenceOptions{}.common_cause_window;
+  for (int crash = 0; crash < 3; ++crash) {
+    it.placement.SetServers(it.Entries(fmt::format("-{}", crash)), Millis{0});
+    CHECK(it.SendAndWait(request("dead:800,own:200")).status == 502);
+    RunFor(window + Millis{20});
+  }
+  REQUIRE(it.received.size() == 3);
+  const auto refused = it.SendAndWait(request("dead:800,other:200"));
+  CHECK(refused.status == 503);
+  CHECK(refused.body.find("prompt_quarantined") != std::string::npos);
+  CHECK_FALSE(FindHeader(refused.headers, "Retry-After").empty());
+  CHECK(it.received.size() == 3);
+  CHECK(it.charges.reserved == 3 * 1080);
+  CHECK(it.SendAndWait(request("a:800,own:200")).status == 200);
+}
+
 }  // namespace crocuslatch
--- a/tests/forwarding_fixture.h
+++ b/tests/forwarding_fixture.h
@@ -59,15 +59,7 @@
           received.push_back(request);
           respond(request, std::move(reply));
         }) {
-    const auto entry = [](const std::string& id, const HttpServer& at) {
-      return BackendEntry{.id = id,
-                          .service = "s",
-                          .address = fmt::format("127.0.0.1:{}", at.port()),
-                          .failure_domain = "a",
-                          .slots = 8};
-    };
-    placement.SetServers({entry("i-1", server), entry("i-2", second)},
-                         Millis{0});
+    placement.SetServers(Entries(""), Millis{0});
     context->loop = MakeQtEventLoop();
     context->client = &client;
     context->placement = &placement;
@@ -98,6 +90,18 @@
         });
   }
 
+  // The stand-ins' entries; the suffix distinguishes restarted servers.
+  std::vector<BackendEntry> Entries(const std::string& suffix) const {
+    const auto entry = [&](const std::string& id, const HttpServer& at) {
+      return BackendEntry{.id = id + suffix,
+                          .service = "s",
+                          .address = fmt::format("127.0.0.1:{}", at.port()),
+                          .failure_domain = "a",
+                          .slots = 8};
+    };
+    return {entry("i-1", server), entry("i-2", second)};
+  }
+
   HttpRequest Request(const std::string& method,
                       const std::string& target) const {
     return {.method = method,
