Take an unframed stream without an event for broken off

What callers saw: nothing yet. A server that crashes between the head and the first event ends the channel, too: the caller got an empty stream as a success, and the crash would have cleared the deadly part instead of counting against it.

Change: a stream that only the connection's end delimits is broken off if it has no event or ends inside one, for the caller, the retry, the server's health and the evidence of crashes alike (HttpCall::is_ended_by_connection).

Evidence: 'an unframed stream is complete only at the end of an event' fails before for the empty stream (a success), passes now; ends inside an event were already caught.

--- a/app/forwarding.cc
+++ b/app/forwarding.cc
@@ -512,7 +512,14 @@
     }
   }
 
-  // Reports a connection that broke before the response had an event.
+  // True if the server broke its response off. A stream that ends with its
+  // connection is broken off if it has no event or ends inside one.
+  bool IsBrokenOff() const {
+    return IsStreamingResponse() && call_.is_ended_by_connection() &&
+           (!has_event_ || event_splitter_.has_partial_event());
+  }
+
+  // Reports a response that broke off before it had an event.
   void ReportBroken(HttpResult end) const {
     if (end == HttpResult::kBroken && !has_event_ &&
         context_->quarantine != nullptr && caller_.work) {
@@ -529,25 +536,26 @@
     }
   }
 
-  void OnEnd(HttpResult end) {
+  void OnEnd(HttpResult transport_end) {
+    const HttpResult end = IsBrokenOff() ? HttpResult::kBroken : transport_end;
     const bool is_complete = end == HttpResult::kComplete && status_ != 0;
     const bool may_have_run =
         end != HttpResult::kNotSent && !(is_complete && not_executed_);
     may_have_run_ = may_have_run_ || may_have_run;
     ReportBroken(end);
-    if (is_complete && IsSuccess(status_) && is_sealed_) {
+    const bool is_success = is_complete && IsSuccess(status_) && is_sealed_ &&
+                            !event_splitter_.has_partial_event();
+    if (is_success) {
       OnServed();
     }
-    if (is_complete && IsStreamingResponse() &&
-        !event_splitter_.has_partial_event()) {
+    if (is_success && IsStreamingResponse()) {
       EndDispatch(DispatchResult::kServed, end);
       StartStream();
       reply_.EndStream();
       Finish("answered", status_);
       return;
     }
-    if (is_complete && IsSuccess(status_) && is_sealed_ &&
-        !IsStreamingResponse()) {
+    if (is_success) {
       EndDispatch(DispatchResult::kServed, end);
       reply_.SendResponse(status_, response_headers_, response_body_);
       Finish("answered", status_);
--- a/io/http_client.cc
+++ b/io/http_client.cc
@@ -128,6 +128,7 @@
   // Null before the start and after the end.
   HttpClient::Connection* connection = nullptr;
   bool is_new_connection = true;
+  bool is_ended_by_connection = false;
 };
 
 struct HttpClient::Pool {
@@ -382,6 +383,7 @@
     }
     if (end == TcpCloseReason::kClosed && !is_skipping_ &&
         parser_->FinishAtClose()) {
+      call_->is_ended_by_connection = true;
       Finish(HttpResult::kComplete);
     } else {
       Finish(HttpResult::kBroken);
@@ -525,6 +527,10 @@
   return state_ && state_->is_new_connection;
 }
 
+bool HttpCall::is_ended_by_connection() const {
+  return state_ && state_->is_ended_by_connection;
+}
+
 HttpClient::HttpClient(const HttpClientOptions& options)
     : pool_(std::make_unique<Pool>(options)) {}
 
--- a/io/http_client.h
+++ b/io/http_client.h
@@ -80,6 +80,9 @@
   void Withdraw(Millis wait);
   // True unless the request was sent on a reused connection.
   bool is_on_new_connection() const;
+  // True if the response had neither a length nor chunks, so that only the end
+  // of the connection marked its end. A server that crashes ends it, too.
+  bool is_ended_by_connection() const;
 
  private:
   friend class HttpClient;
--- a/tests/error/server_trouble_test.cc
+++ b/tests/error/server_trouble_test.cc
@@ -362,4 +362,44 @@
   CHECK(it.received.size() == 1);
 }
 
+// Guards against an answer that broke off and reaches the caller as complete:
+// without a length or chunks only the end of the connection ends it, and a
+// server that crashes ends that, too.
+TEST_CASE("an unframed stream is complete only at the end of an event") {
+  const auto [events, is_whole] = GENERATE(
+      table<std::string, bool>({{"id: 1\ndata: a\n\n", true},
+                                {"id: 1\ndata: a\n\nid: 2\ndat", false},
+                                {"id: 1\ndat", false},
+                                {"", false}}));
+  const std::string text = events;
+  RawFixture it([text](QTcpSocket& socket, const QByteArray& all) {
+    if (HasRequest(all)) {
+      const auto answer = kAnswerHead + "Connection: close\r\n\r\n" + text;
+      socket.write(answer.data(), static_cast<qint64>(answer.size()));
+      socket.disconnectFromHost();
+    }
+  });
+  const auto ending = it.SendAndWaitForEnd(it.Request("POST", "/stream/1"));
+  CHECK((ending.end == HttpResult::kComplete && ending.status == 200) ==
+        is_whole);
+  const auto whole = text.substr(0, text.rfind("\n\n") + 2);
+  const bool has_event = text.find("\n\n") != std::string::npos;
+  CHECK((ending.status == 200 ? ending.body : "") == (has_event ? whole : ""));
+}
+
+// Guards against a buffered answer without a length that is lost or altered.
+TEST_CASE("an unframed answer that is not streamed ends with its connection") {
+  RawFixture it([](QTcpSocket& socket, const QByteArray& all) {
+    if (HasRequest(all)) {
+      const auto answer = kAnswerHead + "Connection: close\r\n\r\ndone";
+      socket.write(answer.data(), static_cast<qint64>(answer.size()));
+      socket.disconnectFromHost();
+    }
+  });
+  const auto ending = it.SendAndWaitForEnd(it.Request("POST", "/order/1"));
+  CHECK(ending.end == HttpResult::kComplete);
+  CHECK(ending.status == 200);
+  CHECK(ending.body == "done");
+}
+
 }  // namespace crocuslatch
