End a shared watch whose answer is overdue

What callers could see: a new desired state that comes into force too late (CONFIG, 2 s).

Cause: the hosts of a failure domain wait at their aggregator, which answers 'no change' after their wait of 0.45 of config_apply_ms, whether or not the store has answered its own watch. When that call's connection is silent, it ends after its wait and 1.5 s: 2.4 s in which all hosts of the domain hear 'no change'.

Change: the shared watch counts as failed 300 ms after its end is due (1.2 s); those who wait are told so and ask the store themselves. A late answer of a watch that was given up is ignored.

Evidence: 'a watch that gets no answer in time ends the watches of all hosts' and 'a late answer to an overdue watch is ignored' fail before (no failure within 5 s; 0 == 1). test_correctness 260 of 260.

--- a/app/shared_watch.cc
+++ b/app/shared_watch.cc
@@ -23,6 +23,8 @@
     // Newest event of each key.
     std::map<std::string, StoreItem> newest;
     std::vector<Waiter> waiters;
+    // The watch of the store that is under way.
+    std::uint64_t call_id = 0;
   };
 
   SharedWatchOptions options;
@@ -30,6 +32,7 @@
   EventLoop loop;
   std::map<std::string, Prefix> prefixes;
   std::uint64_t last_waiter_id = 0;
+  std::uint64_t last_call_id = 0;
 
   static StoreRangeResult EventsAfter(const Prefix& prefix,
                                       std::uint64_t after) {
@@ -89,22 +92,37 @@
   }
 
   void Run(const std::string& name) {
-    const auto& prefix = prefixes.at(name);
+    auto& prefix = prefixes.at(name);
+    const auto call_id = ++last_call_id;
+    prefix.call_id = call_id;
     const auto longest =
         std::ranges::max_element(prefix.waiters, {}, &Waiter::wait);
     const Millis wait = longest == prefix.waiters.end()
                             ? options.wait
                             : std::max(options.wait, longest->wait);
-    store.watch(name, prefix.revision, wait,
-                [self = weak_from_this(), name](const StoreRangeResult& it) {
-                  if (const auto core = self.lock()) {
-                    core->OnResult(name, it);
-                  }
-                });
+    store.watch(
+        name, prefix.revision, wait,
+        [self = weak_from_this(), name, call_id](const StoreRangeResult& it) {
+          if (const auto core = self.lock()) {
+            core->OnResult(name, call_id, it);
+          }
+        });
+    loop.after(
+        wait + options.overdue_time, [self = weak_from_this(), name, call_id] {
+          if (const auto core = self.lock()) {
+            core->OnResult(name, call_id, {.error = "the watch is overdue"});
+          }
+        });
   }
 
-  void OnResult(const std::string& name, const StoreRangeResult& range) {
-    auto& prefix = prefixes.at(name);
+  void OnResult(const std::string& name,
+                std::uint64_t call_id,
+                const StoreRangeResult& range) {
+    const auto found = prefixes.find(name);
+    if (found == prefixes.end() || found->second.call_id != call_id) {
+      return;
+    }
+    auto& prefix = found->second;
     if (range.status != StoreStatus::kOk || prefix.waiters.empty()) {
       // Without a waiter, the next watch begins at its caller's revision.
       const auto waiters = std::move(prefix.waiters);
--- a/app/shared_watch.h
+++ b/app/shared_watch.h
@@ -20,6 +20,10 @@
   // Least duration of one watch of the store; it lasts as long as the longest
   // wait of those who wait when it begins.
   Millis wait{1000};
+  // Time beyond its duration after which a watch of the store counts as failed.
+  // Its connection may have gone silent, and until it ends nobody would learn
+  // of a change.
+  Millis overdue_time{300};
 };
 
 class SharedWatch {
@@ -30,8 +34,8 @@
 
   // Passes the newest event of each key under `prefix` after the revision
   // `after` as soon as there is one, and no event after `wait`. The status is
-  // kUnknown if the store does not answer. A caller whose revision is older
-  // than the shared watch gets a watch of its own.
+  // kUnknown if the store does not answer in time. A caller whose revision is
+  // older than the shared watch gets a watch of its own.
   void Watch(const std::string& prefix,
              std::uint64_t after,
              Millis wait,
--- a/tests/correctness/shared_watch_test.cc
+++ b/tests/correctness/shared_watch_test.cc
@@ -1,6 +1,7 @@
 #include "app/shared_watch.h"
 
 #include <catch2/catch.hpp>
+#include <functional>
 #include <optional>
 #include <vector>
 
@@ -123,4 +124,52 @@
   CHECK(failed == 3);
 }
 
+// Guards against hosts that learn of a change too late (CONFIG) since the
+// connection of the one that watches for them went silent.
+TEST_CASE("a watch that gets no answer in time ends the watches of all hosts") {
+  Fixture it;
+  // A host that watches again whenever there was no change.
+  std::optional<Millis> failed_at;
+  std::function<void()> watch = [&] {
+    it.watch.Watch("op", 10, Millis{900}, [&](const auto& range) {
+      if (range.status == StoreStatus::kUnknown) {
+        failed_at = it.loop.now();
+      } else {
+        watch();
+      }
+    });
+  };
+  const Millis begin = it.loop.now();
+  it.store.watch = [](const auto&, auto, Millis, const auto&) {};
+  watch();
+  it.loop.RunFor(Millis{5000});
+  REQUIRE(failed_at);
+  // Two thirds of the bound on a new desired state, 2 s; the host's own call
+  // takes the rest.
+  CHECK(*failed_at - begin <= Millis{2000 * 2 / 3});
+}
+
+// Guards against an answer that comes after the watch was given up.
+TEST_CASE("a late answer to an overdue watch is ignored") {
+  Fixture it;
+  std::vector<StoreRangeCallback> calls;
+  it.store.watch = [&](const auto&, auto, Millis, const auto& callback) {
+    calls.push_back(callback);
+  };
+  int failed = 0;
+  it.watch.Watch("op", 10, Millis{900}, [&](const auto&) {});
+  it.loop.RunFor(Millis{950});
+  it.watch.Watch("op", 10, Millis{900}, [&](const auto& range) {
+    failed += range.status == StoreStatus::kUnknown ? 1 : 0;
+  });
+  it.loop.RunFor(Millis{500});
+  CHECK(failed == 1);
+  calls.front()({.status = StoreStatus::kOk, .revision = 99});
+  std::optional<StoreRangeResult> next;
+  it.watch.Watch("op", 10, Millis{100}, [&](const auto& r) { next = r; });
+  it.loop.RunFor(Millis{200});
+  REQUIRE(next);
+  CHECK(next->revision == 10);
+}
+
 }  // namespace crocuslatch
