State that a read began later than its call

Change: a call that falls back to another path states a negative staleness; the next read is due one period after the moment at which the store was really read.

--- a/app/relayed_store.cc
+++ b/app/relayed_store.cc
@@ -265,7 +265,7 @@
                               core->options.aggregator_timeout));
           }
           if (!is_answered) {
-            core->Start(call, callback);
+            core->StartLate(call, begun, callback);
             return;
           }
           core->hooks.on_store_response();
@@ -273,6 +273,18 @@
         });
   }
 
+  // Starts a call that was made at `made_at` and failed on another path.
+  void StartLate(const Call& call,
+                 Millis made_at,
+                 const ResultCallback& callback) {
+    const Millis delay = loop.now() - made_at;
+    Start(call, [callback, delay](const CallResult& it) {
+      CallResult result = it;
+      result.staleness -= delay;
+      callback(result);
+    });
+  }
+
   Millis AggregatorTimeout(const Call& call) const {
     const bool is_write = call.kind == wire::StoreCall::Put;
     return options.aggregator_timeout + call.wait +
@@ -286,14 +298,14 @@
       Start(call, callback);
       return;
     }
-    ExecuteShared(call, [self = weak_from_this(), call,
+    ExecuteShared(call, [self = weak_from_this(), call, made_at = loop.now(),
                          callback](const CallResult& result) {
       const auto core = self.lock();
       if (!core) {
         return;
       }
       if (result.status == StoreStatus::kUnknown) {
-        core->Start(call, callback);
+        core->StartLate(call, made_at, callback);
         return;
       }
       core->hooks.on_store_response();
--- a/src/store.h
+++ b/src/store.h
@@ -71,7 +71,7 @@
   // Description of the error, for logs.
   std::string error;
   // Time by which the store was read before the call was made, if the result is
-  // shared with earlier calls.
+  // shared with earlier calls; negative if it was read only later.
   Millis staleness{0};
 };
 
--- a/tests/correctness/relayed_store_test.cc
+++ b/tests/correctness/relayed_store_test.cc
@@ -240,6 +240,15 @@
   CHECK(shared.staleness >= Millis{100});
 }
 
+// Guards against a newer snapshot that is rejected as older than one whose read
+// began late.
+TEST_CASE("a read after a silent aggregator states that it began later") {
+  Fixture it;
+  it.b.is_silent = true;
+  const auto result = it.a.ReadAggregated("b");
+  CHECK(result.staleness <= -RelayedStoreOptions{}.aggregator_timeout);
+}
+
 // Guards against requests to a server that left (DRAIN) because the delays of
 // the registry add up to the bound when the aggregator falls silent.
 TEST_CASE("a draining server is known in time when the aggregator is silent") {
