--- a/tests/correctness/forwarding_test.cc
+++ b/tests/correctness/forwarding_test.cc
@@ -300,7 +300,7 @@
   CHECK(refused.body.find("prompt_quarantined") != std::string::npos);
   CHECK_FALSE(FindHeader(refused.headers, "Retry-After").empty());
   CHECK(it.received.size() == 3);
-  CHECK(it.charges.reserved == 3 * 1080);
+  CHECK(it.charges.reserved == 3 * Tokens{1080});
   CHECK(it.SendAndWait(request("a:800,own:200")).status == 200);
 }
 
--- a/tests/fuzz/registry_soak_test.cc
+++ b/tests/fuzz/registry_soak_test.cc
@@ -157,7 +157,7 @@
     After(static_cast<int>(kHeartbeat.count()), [this] {
       for (const auto& [id, server] : servers_) {
         if (server.is_registered) {
-          After(Draw(0, 1100), [this, id] {
+          After(Draw(0, 1100), [this, id = id] {
             if (servers_.at(id).is_registered) {
               Write(id);
             }
@@ -229,7 +229,7 @@
       store_returned_at_ = loop_.now();
       for (const auto& [id, server] : servers_) {
         if (server.is_registered) {
-          After(Draw(0, 1800), [this, id] {
+          After(Draw(0, 1800), [this, id = id] {
             if (servers_.at(id).is_registered) {
               Write(id);
             }
