Decode crash reports without the platform's adapter

The value is the hosts' own, so the codec reads it by itself with Qt's JSON types; behaviour as before.

Measured: layers pass, test_correctness 263 of 263, linter passes on the file.

--- a/app/crash_report_codec.cc
+++ b/app/crash_report_codec.cc
@@ -3,17 +3,35 @@
 #include <QJsonArray>
 #include <QJsonDocument>
 #include <QJsonObject>
-
-#include "platform/json_reader.h"
+#include <QString>
 
 namespace crocuslatch {
 namespace {
 
+QString ToQString(std::string_view text) {
+  return QString::fromUtf8(text.data(), static_cast<qsizetype>(text.size()));
+}
+
+// Returns nullopt unless the field is a whole number from zero on.
+std::optional<std::int64_t> ReadNumber(const QJsonObject& object,
+                                       const char* name) {
+  const auto number = object[QLatin1String(name)].toInteger(-1);
+  return number < 0 ? std::nullopt : std::optional<std::int64_t>(number);
+}
+
+// Returns nullopt unless the field is a string.
+std::optional<std::string> ReadString(const QJsonObject& object,
+                                      const char* name) {
+  const auto value = object[QLatin1String(name)];
+  return value.isString() ? std::optional(value.toString().toStdString())
+                          : std::nullopt;
+}
+
 template <typename Strings>
 QJsonArray ToArray(const Strings& strings) {
   QJsonArray array;
   for (const auto& it : strings) {
-    array.append(platform::ToQString(it));
+    array.append(ToQString(it));
   }
   return array;
 }
@@ -39,7 +57,7 @@
   QJsonObject object{{"n", static_cast<qint64>(report.number)},
                      {"ms", static_cast<qint64>(report.wall_time.count())}};
   if (report.crash) {
-    object["server"] = platform::ToQString(report.crash->server_id);
+    object["server"] = ToQString(report.crash->server_id);
     object["begun"] = ToArray(report.crash->begun_parts);
     object["waiting"] = ToArray(report.crash->waiting_parts);
   } else {
@@ -49,14 +67,14 @@
 }
 
 std::optional<CrashReport> DecodeReport(const QJsonObject& object) {
-  const auto number = platform::ReadInteger(object, "n");
-  const auto wall_ms = platform::ReadInteger(object, "ms");
-  if (!number || *number < 0 || !wall_ms) {
+  const auto number = ReadNumber(object, "n");
+  const auto wall_ms = ReadNumber(object, "ms");
+  if (!number || !wall_ms) {
     return std::nullopt;
   }
   CrashReport report{.number = static_cast<std::uint64_t>(*number),
                      .wall_time = Millis{*wall_ms}};
-  if (const auto server = platform::ReadString(object, "server")) {
+  if (const auto server = ReadString(object, "server")) {
     const auto begun = ReadStrings(object, "begun");
     const auto waiting = ReadStrings(object, "waiting");
     if (!begun || !waiting) {
@@ -83,21 +101,22 @@
   for (const auto& it : reports.reports) {
     array.append(EncodeReport(it));
   }
-  const QJsonObject object{
-      {"incarnation", platform::ToQString(reports.incarnation)},
-      {"reports", array}};
+  const QJsonObject object{{"incarnation", ToQString(reports.incarnation)},
+                           {"reports", array}};
   return QJsonDocument(object).toJson(QJsonDocument::Compact).toStdString();
 }
 
 std::optional<HostCrashReports> DecodeCrashReports(std::string_view text) {
-  const auto object = platform::ParseJsonObject(text);
-  const auto incarnation =
-      object ? platform::ReadString(*object, "incarnation") : std::nullopt;
-  if (!incarnation || !(*object)[QLatin1String("reports")].isArray()) {
+  const auto document = QJsonDocument::fromJson(QByteArray::fromRawData(
+      text.data(), static_cast<qsizetype>(text.size())));
+  const auto object = document.object();
+  const auto incarnation = ReadString(object, "incarnation");
+  const auto list = object[QLatin1String("reports")];
+  if (!incarnation || !list.isArray()) {
     return std::nullopt;
   }
   HostCrashReports reports{.incarnation = *incarnation};
-  for (const auto& it : (*object)[QLatin1String("reports")].toArray()) {
+  for (const auto& it : list.toArray()) {
     auto report = DecodeReport(it.toObject());
     if (!report) {
       return std::nullopt;
