Review case 1: a restarted home host ends the wrong loans (BUDGET)

Cause: loan ids restart at 1 with each process, and a settlement names no incarnation. Change: a script that restarts the home host as planned.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -14,10 +14,11 @@
 import pathlib
 import signal
 import sys
+import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "lib"))
-from standins import (Replica, Router, Store, ask, request_bytes, run_case,  # noqa: E402
-                      wait_ready)
+from standins import (Replica, Router, Store, ask, find_home,  # noqa: E402
+                      request_bytes, run_case, wait_ready)
 
 ROUTERS = 16
 STRIDE = 5  # Tokens of one event.
@@ -30,6 +31,7 @@
 LARGE = (30_000, 15, 0.4)
 FINAL = (30_000, 4, 0.1)
 STREAMS = 10
+LARGE_AFTER_S = 6  # From the start of the small streams to that of the large ones.
 
 
 def desired_state():
@@ -80,11 +82,6 @@
         return answer
 
 
-def lenders(routers):
-    """Names of the routers whose log says that they lent tokens."""
-    return [it for it in routers if "tokens_lent" in it.log.read_text(errors="replace")]
-
-
 async def main(record, folder, routers, has_trouble):
     store = Store()
     await store.start()
@@ -104,24 +101,16 @@
         it.start()
     await wait_ready(routers)
     # Until every router has read the others' stamps.
-    await asyncio.sleep(14)
+    await asyncio.sleep(16)
 
     tenant = Tenant(record, plans)
-    # The home is the one that lends; if the first entry is the home itself, the
-    # second one is used.
-    entry = routers[0]
-    await tenant.stream(entry.front, (100, 2, 0.1), "a")
-    await asyncio.sleep(0.3)
-    if not lenders(routers):
-        entry = routers[1]
+    home, entry = await find_home(
+        routers, lambda it: tenant.stream(it.front, (100, 2, 0.1), "a"))
+    record.add(f"entry {entry.name}, home {home.name}")
     small = [asyncio.create_task(tenant.stream(entry.front, SMALL, "b"))
              for _ in range(STREAMS)]
+    began_at = time.monotonic()
     await asyncio.sleep(0.5)
-    found = lenders(routers)
-    if len(found) != 1:
-        raise RuntimeError(f"homes: {[it.name for it in found]}")
-    home = found[0]
-    record.add(f"entry {entry.name}, home {home.name}")
     if has_trouble:
         number = signal.SIGKILL if os.environ.get("STOP") == "kill" else signal.SIGTERM
         record.add(f"platform sends {number.name} to {home.name}")
@@ -132,9 +121,7 @@
         home.start()
         record.add(f"platform starts {home.name}")
         await wait_ready([home])
-    else:
-        await asyncio.sleep(5)
-    await asyncio.sleep(1)
+    await asyncio.sleep(began_at + LARGE_AFTER_S - time.monotonic())
     large = [asyncio.create_task(tenant.stream(entry.front, LARGE, "c"))
              for _ in range(STREAMS + 1)]
     await asyncio.gather(*small, *large)
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -11,6 +11,7 @@
 import json
 import os
 import pathlib
+import random
 import shutil
 import signal
 import socket
@@ -25,14 +26,23 @@
 HEARTBEAT_S = 1.2
 
 
+taken_ports = set()
+
+
 def free_ports(count):
-    """Returns ports that were free just now; all are held until the last."""
-    sockets = [socket.socket() for _ in range(count)]
-    for it in sockets:
-        it.bind(("127.0.0.1", 0))
-    ports = [it.getsockname()[1] for it in sockets]
-    for it in sockets:
-        it.close()
+    """Returns ports that were free just now, below the range from which the
+    kernel takes the ports of outgoing connections."""
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(12_000, 32_000)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in taken_ports:
+            taken_ports.add(port)
+            ports.append(port)
     return ports
 
 
@@ -88,8 +98,9 @@
         self.address = ""
 
     async def start(self):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        self.address = "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]
+        port = free_ports(1)[0]
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", port)
+        self.address = f"127.0.0.1:{port}"
 
     def write(self, puts, removed=()):
         self.revision += 1
@@ -190,8 +201,9 @@
         self.address = ""
 
     async def start(self):
-        server = await asyncio.start_server(self.serve, "127.0.0.1", 0, backlog=512)
-        self.address = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
+        port = free_ports(1)[0]
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", port, backlog=512)
+        self.address = f"127.0.0.1:{port}"
         self.beat()
         asyncio.create_task(self.beats())
 
@@ -391,6 +403,19 @@
     return answer
 
 
+async def find_home(routers, send):
+    """Sends small requests by `send(router)` until one router lends the tokens
+    of another. Returns both, (lender, borrower); they are told by their logs."""
+    for it in routers[:8]:
+        await send(it)
+        await asyncio.sleep(0.4)
+        lenders = [r for r in routers if "tokens_lent" in r.log.read_text(errors="replace")]
+        if len(lenders) == 1 and lenders[0] is not it:
+            return lenders[0], it
+        await asyncio.sleep(1)
+    raise RuntimeError("no router lends tokens to another")
+
+
 def run_case(main):
     """Runs `main(record, folder, routers, has_trouble)`, which returns whether
     the rule held, and ends all routers. Exits with 0, 1 or 2."""
@@ -400,6 +425,12 @@
     folder = pathlib.Path(tempfile.mkdtemp(prefix="crocuslatch-review-"))
     routers = []
     code = 2
+
+    def on_stop(*_):
+        raise RuntimeError("stopped by a signal")
+
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, on_stop)
     try:
         if not (REPOSITORY / DAEMON).exists():
             raise RuntimeError(f"{DAEMON} is not built")
