Review: keep only case folders under review/

Cause: the stand-ins that the scripts share lay in review/lib/, which is no case folder. Change: they are review/standins.py, beside build.sh and REPORT.md.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -13,7 +13,7 @@
 import pathlib
 import sys
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "lib"))
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 from standins import (Answer, Replica, Router, Store, ask, read_answer,  # noqa: E402
                       request_bytes, run_case, wait_ready)
 
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -15,7 +15,7 @@
 import sys
 import time
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "lib"))
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 from standins import (Replica, Router, Store, ask, find_home,  # noqa: E402
                       request_bytes, run_case, wait_ready)
 
--- a/review/build.sh
+++ b/review/build.sh
@@ -4,7 +4,7 @@
 # nothing to compile; the routers come from the build of the deploy file.
 set -euo pipefail
 cd "$(dirname "$0")"
-python3 - lib/*.py */case.py <<'PY'
+python3 - standins.py */case.py <<'PY'
 import ast
 import sys
 
--- a/review/lib/standins.py
+++ b/review/standins.py
@@ -21,7 +21,7 @@
 import time
 import urllib.parse
 
-REPOSITORY = pathlib.Path(__file__).resolve().parents[2]
+REPOSITORY = pathlib.Path(__file__).resolve().parents[1]
 DAEMON = "target/crocuslatchd"
 HEARTBEAT_S = 1.2
 
