Count a request whose response cannot be sent as ended once

Cause: QTcpSocket::flush emits disconnected from inside the call. HttpReply then counted the request as ended by the lost connection and once more by the end of its response; AdvanceStop goes by that count. The log has two request_ended lines for such requests.

Change: disconnected is delivered from the event loop, so that no method of HttpReply runs its caller's hook; a response that could not be sent leaves the end to the loss; an open request is counted by an object, which cannot be subtracted twice.

Ruled out: io/tcp_socket, io/http_client and src/peer_link report failed sends from the event loop already.

Test: 'a response that cannot be sent ends its request once' failed 8 of 24 assertions before (open_requests 0 and 2^64 - 1 where 1 and 0 were open) and passes now.

--- a/io/http_server.cc
+++ b/io/http_server.cc
@@ -13,6 +13,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <cstring>
+#include <optional>
 #include <set>
 #include <utility>
 
@@ -201,7 +202,11 @@
     ::setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUnacknowledgedTimeoutMs,
                  sizeof kUnacknowledgedTimeoutMs);
     connect(&socket_, &QTcpSocket::readyRead, this, [this] { OnBytes(); });
-    connect(&socket_, &QTcpSocket::disconnected, this, [this] { CloseNow(); });
+    // Queued, because a write that fails emits the signal from inside Send. The
+    // caller of Send would go on with a connection that has just been closed.
+    connect(
+        &socket_, &QTcpSocket::disconnected, this, [this] { CloseNow(); },
+        Qt::QueuedConnection);
     deadline_ = SteadyNow() + limits_->idle_timeout;
   }
 
@@ -221,9 +226,12 @@
     on_connection_lost_ = std::move(hook);
   }
 
-  void Send(std::string_view bytes) {
+  // Returns false if the connection is closed or breaks. The hook of a lost
+  // connection then runs from the event loop.
+  bool Send(std::string_view bytes) {
     socket_.write(bytes.data(), static_cast<qint64>(bytes.size()));
     socket_.flush();
+    return IsConnected();
   }
 
   // The response has ended; the next request may follow.
@@ -364,8 +372,9 @@
         socket_.peerAddress().toString().toStdString(), socket_.peerPort(),
         error.what());
     // No further input of this connection is parsed.
-    Send(FinalErrorResponse(error));
-    CloseGracefully();
+    if (Send(FinalErrorResponse(error))) {
+      CloseGracefully();
+    }
   }
 
   const HttpLimits* limits_;
@@ -404,18 +413,37 @@
   bool destroyed = false;
 };
 
+// Counts one request as open until its destruction, so that it cannot be
+// subtracted twice.
+class OpenRequest {
+ public:
+  explicit OpenRequest(std::shared_ptr<ServerState> server)
+      : server_(std::move(server)) {
+    ++server_->open_requests;
+  }
+  ~OpenRequest() { --server_->open_requests; }
+  OpenRequest(const OpenRequest&) = delete;
+  OpenRequest& operator=(const OpenRequest&) = delete;
+
+ private:
+  std::shared_ptr<ServerState> server_;
+};
+
 }  // namespace
 
 struct HttpReply::State {
   std::shared_ptr<ServerState> server;
   QPointer<CallerConnection> socket;
   std::function<void()> on_disconnect;
+  // Empty after the end of the response.
+  std::optional<OpenRequest> open_request;
   bool is_head = false;
   bool close_after = false;
   bool streaming = false;
-  bool ended = false;
 
-  bool IsOpen() const { return !ended && socket && socket->IsConnected(); }
+  bool IsOpen() const {
+    return open_request && socket && socket->IsConnected();
+  }
 
   std::string Head(int status, HttpHeaders headers) {
     close_after = close_after || server->closes_connections;
@@ -425,14 +453,14 @@
     return FormatHead(StatusLine(status), headers);
   }
 
-  void Close() {
-    ended = true;
-    --server->open_requests;
-  }
-
-  // Keeps the connection for the next request unless it must be closed.
-  void End() {
-    Close();
+  // Sends the last bytes of the response. Keeps the connection for the next
+  // request unless it must be closed. If the bytes cannot be sent, the request
+  // ends in OnConnectionLost instead.
+  void SendLast(std::string_view bytes) {
+    if (!socket->Send(bytes)) {
+      return;
+    }
+    open_request.reset();
     on_disconnect = {};
     if (close_after) {
       socket->CloseGracefully();
@@ -442,10 +470,10 @@
   }
 
   void OnConnectionLost() {
-    if (ended) {
+    if (!open_request) {
       return;
     }
-    Close();
+    open_request.reset();
     const auto hook = std::exchange(on_disconnect, {});
     if (hook && !server->destroyed) {
       hook();
@@ -465,8 +493,7 @@
   if (!state_->is_head) {
     bytes += body;
   }
-  state_->socket->Send(bytes);
-  state_->End();
+  state_->SendLast(bytes);
 }
 
 void HttpReply::SendError(const RequestError& error) {
@@ -504,15 +531,12 @@
   if (!IsOpen() || !state_->streaming) {
     return;
   }
-  if (!state_->is_head) {
-    state_->socket->Send("0\r\n\r\n");
-  }
-  state_->End();
+  state_->SendLast(state_->is_head ? "" : "0\r\n\r\n");
 }
 
 void HttpReply::Abort() {
   if (IsOpen()) {
-    state_->Close();
+    state_->open_request.reset();
     state_->on_disconnect = {};
     state_->socket->CloseNow();
   }
@@ -525,7 +549,7 @@
 }
 
 void HttpReply::OnDisconnect(std::function<void()> hook) {
-  if (state_ && !state_->ended) {
+  if (state_ && state_->open_request) {
     state_->on_disconnect = std::move(hook);
   }
 }
@@ -632,7 +656,7 @@
     state->is_head = request.method == "HEAD";
     state->close_after =
         HasToken(FindHeader(request.headers, "Connection"), "close");
-    ++state_->open_requests;
+    state->open_request.emplace(state_);
     socket.OnConnectionLost([state] { state->OnConnectionLost(); });
     HttpReply reply;
     reply.state_ = state;
--- a/io/http_server.h
+++ b/io/http_server.h
@@ -47,7 +47,8 @@
   void CloseAfterResponse();
 
   // Sets a hook that is called once if the caller disconnects before the end of
-  // the response.
+  // the response. It is called from the event loop, never from inside another
+  // method.
   void OnDisconnect(std::function<void()> hook);
   bool IsOpen() const;
   // True if the caller has closed its connection. Queries the kernel, since the
--- a/tests/error/http_server_test.cc
+++ b/tests/error/http_server_test.cc
@@ -1,7 +1,10 @@
 #include "io/http_server.h"
 
+#include <sys/socket.h>
+
 #include <QTcpSocket>
 #include <catch2/catch.hpp>
+#include <map>
 
 #include "tests/run_until.h"
 
@@ -198,6 +201,61 @@
   CHECK(RunUntil([&] { return http_server.open_connections() == 0; }));
 }
 
+// Guards against a request that counts as ended twice: the send of its response
+// finds that the caller has reset the connection. The process would then exit
+// in a planned stop with other requests in flight.
+TEST_CASE("a response that cannot be sent ends its request once") {
+  using Respond = std::function<void(HttpReply&)>;
+  const Respond respond = GENERATE(
+      Respond([](HttpReply& it) { it.SendResponse(200, {}, "done"); }),
+      Respond([](HttpReply& it) {
+        it.CloseAfterResponse();
+        it.SendResponse(200, {}, "done");
+      }),
+      Respond([](HttpReply& it) {
+        it.StartStream(200, {});
+        it.Write("part");
+        it.EndStream();
+      }),
+      Respond([](HttpReply& it) {
+        it.StartStream(200, {});
+        it.Abort();
+      }));
+  std::map<std::string, HttpReply> replies;
+  HttpServer http_server(
+      {}, [&](const IncomingRequest& request, const HttpReply& reply) {
+        replies[request.path] = reply;
+      });
+  QTcpSocket other;
+  other.connectToHost("127.0.0.1", http_server.port());
+  other.write("GET /other HTTP/1.1\r\nHost: h\r\n\r\n");
+  QTcpSocket caller;
+  caller.connectToHost("127.0.0.1", http_server.port());
+  caller.write("GET /lost HTTP/1.1\r\nHost: h\r\n\r\n");
+  REQUIRE(RunUntil([&] { return replies.size() == 2; }));
+  int disconnects = 0;
+  bool is_inside_call = true;
+  bool was_inside_call = false;
+  replies["/lost"].OnDisconnect([&] {
+    ++disconnects;
+    was_inside_call = is_inside_call;
+  });
+  // The reset arrives before the event loop of the server runs again.
+  const linger hard{1, 0};
+  ::setsockopt(static_cast<int>(caller.socketDescriptor()), SOL_SOCKET,
+               SO_LINGER, &hard, sizeof hard);
+  caller.abort();
+  respond(replies["/lost"]);
+  is_inside_call = false;
+  RunFor(Millis{50});
+  CHECK(disconnects <= 1);
+  CHECK_FALSE(was_inside_call);
+  CHECK(http_server.open_requests() == 1);
+  CHECK(http_server.open_connections() == 1);
+  replies["/other"].SendResponse(200, {}, "done");
+  CHECK(http_server.open_requests() == 0);
+}
+
 // Guards against a caller whose request line never ends.
 TEST_CASE("a chunk header without end is rejected") {
   HttpServer http_server(
