Bound numbers from outside, and keep the bills of a rejected exchange

Cause: the sum of the counts overflowed to a negative amount, which GrantTable::Reserve asserts away; the largest amount made the usage bound of an exchange negative, the ledger rejected it, the holder forgot its bills, and the next exchange opened the grant anew.

Change: counts are limited to 2^53 where they are decoded, sums saturate, an amount above the limit of its budget is refused at once, and a rejected exchange whose tokens the ledger still counts as held (ShardReply.held, new) puts its bills back.

'a request is refused at once if there is no other holder' relied on an exchange for an amount above the limit and now asks for three amounts against a ledger with usage.

--- a/app/forwarding.cc
+++ b/app/forwarding.cc
@@ -176,7 +176,7 @@
       return false;
     }
     const Tokens amount =
-        caller_.work->prompt_tokens + caller_.work->max_output_tokens;
+        AddTokens(caller_.work->prompt_tokens, caller_.work->max_output_tokens);
     context_->reserve_at_home(
         account_->name, amount,
         [self = shared_from_this(), amount](const HomeReservation& it) {
@@ -730,9 +730,9 @@
     // (docs/questions.md).
     if (has_response_begun_) {
       const Tokens delivered =
-          event_count_ * (engine_ ? engine_->tokens_per_event : 1);
-      used = caller_.work->prompt_tokens +
-             std::min(delivered, caller_.work->max_output_tokens);
+          ScaleTokens(event_count_, engine_ ? engine_->tokens_per_event : 1, 1);
+      used = AddTokens(caller_.work->prompt_tokens,
+                       std::min(delivered, caller_.work->max_output_tokens));
     }
     used_tokens_ = used;
     if (loan_) {
--- a/app/load_broadcast.cc
+++ b/app/load_broadcast.cc
@@ -1,6 +1,7 @@
 #include "app/load_broadcast.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace crocuslatch {
@@ -95,8 +96,10 @@
     for (const auto* it : *update->servers()) {
       core_->placement->OnPeerLoad(
           host, it->server()->str(),
-          {.requests = static_cast<int>(it->requests()),
-           .prefill_tokens = static_cast<Tokens>(it->unread_tokens())},
+          {.requests = static_cast<int>(std::min<std::uint32_t>(
+               it->requests(), std::numeric_limits<int>::max())),
+           .prefill_tokens = static_cast<Tokens>(
+               std::min<std::uint64_t>(it->unread_tokens(), kMaxTokens))},
           core_->loop.now());
     }
   }
--- a/core/placement.cc
+++ b/core/placement.cc
@@ -20,7 +20,7 @@
 Tokens SharedTokens(const ModelWork& work) {
   Tokens sum = 0;
   for (std::size_t i = 0; i + 1 < work.parts.size(); ++i) {
-    sum += work.parts[i].tokens;
+    sum = AddTokens(sum, work.parts[i].tokens);
   }
   return sum;
 }
@@ -103,7 +103,7 @@
         it->second.last_used + options_.cache_ttl < now) {
       break;
     }
-    cached += part.tokens;
+    cached = AddTokens(cached, part.tokens);
   }
   return cached;
 }
@@ -200,8 +200,9 @@
     Server& server = it->second;
     ++server.local.requests;
     if (work != nullptr) {
-      dispatch.prefill_tokens = std::max<Tokens>(
-          0, work->prompt_tokens - CachedTokens(server, *work, now));
+      dispatch.prefill_tokens = std::clamp<Tokens>(
+          work->prompt_tokens - CachedTokens(server, *work, now), 0,
+          options_.max_peer_tokens);
       server.local.prefill_tokens += dispatch.prefill_tokens;
       RecordCachedParts(server, *work, now);
     }
--- a/src/event_loop.cc
+++ b/src/event_loop.cc
@@ -3,9 +3,16 @@
 #include <QCoreApplication>
 #include <QObject>
 #include <QTimer>
+#include <algorithm>
 #include <memory>
 
 namespace crocuslatch {
+namespace {
+
+// QTimer counts milliseconds in an int. A longer delay ends after this time.
+constexpr Millis kMaxDelay = std::chrono::hours(24 * 7);
+
+}  // namespace
 
 EventLoop MakeQtEventLoop() {
   // The object belongs to the calling thread, so its queued calls run there,
@@ -27,7 +34,8 @@
       .after =
           [context, post](Millis delay, Task task) {
             post([context, delay, task = std::move(task)] {
-              QTimer::singleShot(delay, Qt::PreciseTimer, context.get(), task);
+              QTimer::singleShot(std::clamp(delay, Millis{0}, kMaxDelay),
+                                 Qt::PreciseTimer, context.get(), task);
             });
           },
       .now =
--- a/src/grant_table.cc
+++ b/src/grant_table.cc
@@ -110,6 +110,26 @@
   return sum;
 }
 
+// Puts the bills of a rejected exchange back, up to the tokens `held` by which
+// the ledger can settle them.
+void RestoreBills(Budget& budget,
+                  const ExchangeCommand& sent,
+                  Tokens held,
+                  Millis settle_at) {
+  const Tokens settled = std::min(sent.settled, held);
+  budget.unsettled_sum += settled;
+  budget.unsettled += settled;
+  Tokens left = held - settled;
+  for (const auto& it : sent.bills) {
+    if (it.amount <= left) {
+      left -= it.amount;
+      budget.bills.push_back(it);
+      budget.unsettled += it.amount;
+    }
+  }
+  budget.settle_at = std::min(budget.settle_at, settle_at);
+}
+
 bool HoldsNothing(const Budget& budget) {
   return budget.free + budget.reserved + budget.unsettled == 0;
 }
@@ -273,7 +293,7 @@
   // usage needs no bound.
   bool IsBounded() const { return stamped_at_ && options_.has_usage_bounds; }
   bool CanReserve(const Budget& budget, Tokens amount) const {
-    return amount <= budget.free &&
+    return amount >= 0 && amount <= budget.free &&
            (!IsBounded() ||
             UnsettledUsage(budget) + amount <=
                 UsageBoundAt(budget, loop_.now() - *stamped_at_));
@@ -324,6 +344,7 @@
                       Tasks& tasks);
   void DropGrant(const std::string& name,
                  Budget& budget,
+                 const ExchangeCommand& sent,
                  const ShardReply& reply,
                  Tasks& tasks);
   void Sweep();
@@ -370,7 +391,6 @@
                                Tokens amount,
                                Millis wait,
                                std::function<void(ReserveStatus)> callback) {
-  CROCUSLATCH_ASSERT(amount >= 0);
   Tasks tasks;
   Waiter waiter{0, amount, std::move(callback)};
   if (TryReserve(name, amount)) {
@@ -386,6 +406,13 @@
     PostAll(std::move(tasks));
     return;
   }
+  // No state of the ledger covers such an amount, and an exchange for it would
+  // arm all tokens of the grant.
+  if (amount < 0 || amount > *limit) {
+    CompleteWaiter(waiter, ReserveStatus::kInsufficient, tasks);
+    PostAll(std::move(tasks));
+    return;
+  }
   std::uint64_t id = 0;
   {
     const std::lock_guard lock(mutex_);
@@ -598,7 +625,7 @@
   const Tokens usage = RecentUsage(budget, now - options_.usage_window);
   const Millis observed = std::clamp(now - budget.usage_since, kMinUsageTime,
                                      options_.usage_window);
-  return usage * time.count() / observed.count();
+  return ScaleTokens(usage, time.count(), observed.count());
 }
 
 // ExpectedUsage with a margin for random variation. The number of requests in
@@ -624,9 +651,9 @@
   Tokens bound = UnsettledUsage(budget) - settled +
                  std::min(ExpectedUsage(budget, options_.armed_horizon), cap);
   for (const auto& it : budget.waiters) {
-    bound += it.amount;
+    bound = AddTokens(bound, it.amount);
   }
-  return bound;
+  return std::max<Tokens>(0, bound);
 }
 
 Tokens GrantTable::Core::UsagePace(const Budget& budget) const {
@@ -635,8 +662,8 @@
   }
   const auto rate =
       static_cast<double>(ExpectedUsage(budget, std::chrono::seconds(1)));
-  return std::max(static_cast<Tokens>(rate * options_.pace_factor),
-                  options_.min_pace);
+  const auto pace = static_cast<Tokens>(rate * options_.pace_factor);
+  return std::clamp(pace, options_.min_pace, kMaxTokens);
 }
 
 // Time until the growing usage bound covers the waiters and then this request;
@@ -659,7 +686,7 @@
   }
   Tokens needed = UnsettledUsage(budget) + amount;
   for (const auto& it : budget.waiters) {
-    needed += it.amount;
+    needed = AddTokens(needed, it.amount);
   }
   const Millis wait =
       *stamped_at_ + TimeUntilUsageBound(armed, pace, needed) - loop_.now();
@@ -746,9 +773,9 @@
   }
   Tokens shortfall = -free;
   for (const auto& it : budget.waiters) {
-    shortfall += it.amount;
+    shortfall = AddTokens(shortfall, it.amount);
   }
-  return options_.spare_horizon.count() > 0 ? shortfall + spare
+  return options_.spare_horizon.count() > 0 ? AddTokens(shortfall, spare)
                                             : std::max(shortfall, spare);
 }
 
@@ -953,12 +980,12 @@
                                   const ShardReply& reply,
                                   Tasks& tasks) {
   const Millis now = loop_.now();
-  budget.sequence = sent.exchange.sequence;
   budget.unsettled -= BilledIn(sent.exchange);
   if (reply.status != ReplyStatus::kOk) {
-    DropGrant(name, budget, reply, tasks);
+    DropGrant(name, budget, sent.exchange, reply, tasks);
     return;
   }
+  budget.sequence = sent.exchange.sequence;
   budget.limit_sent = sent.limit;
   budget.armed = sent.exchange.armed;
   budget.pace = sent.exchange.pace;
@@ -1045,19 +1072,35 @@
       std::min(now + options_.recall_poll_period, *budget.recall_until);
 }
 
-// The ledger has no outstanding tokens for this holder. Either its record was
-// dropped after the exchange took effect, and nothing is lost, or the stored
-// value was replaced, and the tokens held here must not be used.
+// The ledger has rejected the exchange. If it has no outstanding tokens for
+// this holder, its record was dropped after the exchange took effect, and
+// nothing is lost, or the holder was taken for dead, and its usage is billed
+// already. If it has some, the bills are not settled and must be sent again: an
+// exchange that opens the grant anew would free the tokens that they have used.
+// In either case, the tokens held here must not be used.
 void GrantTable::Core::DropGrant(const std::string& name,
                                  Budget& budget,
+                                 const ExchangeCommand& sent,
                                  const ShardReply& reply,
                                  Tasks& tasks) {
   budget.free = 0;
+  if (reply.held > 0) {
+    // The ledger has not recorded the sequence number.
+    RestoreBills(budget, sent, reply.held,
+                 loop_.now() + options_.settle_period);
+  } else {
+    budget.sequence = sent.sequence;
+  }
   if (reply.status == ReplyStatus::kUnknownBudget) {
     CompleteAllWaiters(budget, ReserveStatus::kUnknownBudget, tasks);
   } else if (!HoldsNothing(budget)) {
-    Log(LogEvent::kExchangeRejected, "budget {}, holder {}", name,
-        ToString(holder_));
+    LogLine(LogEvent::kExchangeRejected)
+        .Add("budget", name)
+        .Add("holder", ToString(holder_))
+        .Add("settled", BilledIn(sent))
+        .Add("held", reply.held)
+        .Add("unsettled", budget.unsettled)
+        .Add("reserved", budget.reserved);
     CompleteAllWaiters(budget, ReserveStatus::kUnavailable, tasks);
   }
 }
--- a/src/ledger_generated.h
+++ b/src/ledger_generated.h
@@ -1356,7 +1356,8 @@
     VT_CLAIM = 12,
     VT_LIMIT = 14,
     VT_BILLED = 16,
-    VT_OTHERS_OUTSTANDING = 18
+    VT_OTHERS_OUTSTANDING = 18,
+    VT_HELD = 20
   };
   crocuslatch::wire::ReplyStatus status() const {
     return static_cast<crocuslatch::wire::ReplyStatus>(GetField<uint8_t>(VT_STATUS, 0));
@@ -1382,6 +1383,9 @@
   int64_t others_outstanding() const {
     return GetField<int64_t>(VT_OTHERS_OUTSTANDING, 0);
   }
+  int64_t held() const {
+    return GetField<int64_t>(VT_HELD, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_STATUS, 1) &&
@@ -1395,6 +1399,7 @@
            VerifyField<int64_t>(verifier, VT_LIMIT, 8) &&
            VerifyField<int64_t>(verifier, VT_BILLED, 8) &&
            VerifyField<int64_t>(verifier, VT_OTHERS_OUTSTANDING, 8) &&
+           VerifyField<int64_t>(verifier, VT_HELD, 8) &&
            verifier.EndTable();
   }
 };
@@ -1427,6 +1432,9 @@
   void add_others_outstanding(int64_t others_outstanding) {
     fbb_.AddElement<int64_t>(ShardReply::VT_OTHERS_OUTSTANDING, others_outstanding, 0);
   }
+  void add_held(int64_t held) {
+    fbb_.AddElement<int64_t>(ShardReply::VT_HELD, held, 0);
+  }
   explicit ShardReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1447,8 +1455,10 @@
     flatbuffers::Offset<crocuslatch::wire::ClaimRecord> claim = 0,
     int64_t limit = 0,
     int64_t billed = 0,
-    int64_t others_outstanding = 0) {
+    int64_t others_outstanding = 0,
+    int64_t held = 0) {
   ShardReplyBuilder builder_(_fbb);
+  builder_.add_held(held);
   builder_.add_others_outstanding(others_outstanding);
   builder_.add_billed(billed);
   builder_.add_limit(limit);
@@ -1469,7 +1479,8 @@
     flatbuffers::Offset<crocuslatch::wire::ClaimRecord> claim = 0,
     int64_t limit = 0,
     int64_t billed = 0,
-    int64_t others_outstanding = 0) {
+    int64_t others_outstanding = 0,
+    int64_t held = 0) {
   auto other_holders__ = other_holders ? _fbb.CreateVector<flatbuffers::Offset<crocuslatch::wire::Holder>>(*other_holders) : 0;
   return crocuslatch::wire::CreateShardReply(
       _fbb,
@@ -1480,7 +1491,8 @@
       claim,
       limit,
       billed,
-      others_outstanding);
+      others_outstanding,
+      held);
 }
 
 struct GrantRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/shard_codec.cc
+++ b/src/shard_codec.cc
@@ -14,9 +14,6 @@
 using flatbuffers::FlatBufferBuilder;
 using flatbuffers::Offset;
 
-// Keeps sums of amounts far below the maximum of int64.
-constexpr Tokens kMaxAmount = Tokens{1} << 53;
-
 [[noreturn]] void FailMalformed(const std::string& what) {
   throw UserError("shard_malformed",
                   fmt::format("ledger data is malformed: {}", what),
@@ -31,7 +28,7 @@
 }
 
 Tokens CheckAmount(Tokens amount) {
-  Require(amount >= 0 && amount <= kMaxAmount, "amount out of range");
+  Require(amount >= 0 && amount <= kMaxTokens, "amount out of range");
   return amount;
 }
 
@@ -463,7 +460,7 @@
   return wire::CreateShardReply(
       builder, static_cast<wire::ReplyStatus>(reply.status), reply.granted,
       reply.available, packed_holders, claim, reply.limit, reply.billed,
-      reply.others_outstanding);
+      reply.others_outstanding, reply.held);
 }
 
 Offset<CommandVector> PackCommands(FlatBufferBuilder& builder,
@@ -519,6 +516,7 @@
   reply.limit = CheckAmount(table.limit());
   reply.billed = CheckAmount(table.billed());
   reply.others_outstanding = CheckAmount(table.others_outstanding());
+  reply.held = CheckAmount(table.held());
   if (table.other_holders()) {
     for (const auto* it : *table.other_holders()) {
       reply.other_holders.push_back(Unpack(*it));
--- a/src/shard_state.cc
+++ b/src/shard_state.cc
@@ -10,6 +10,10 @@
 
 constexpr Tokens kMillisPerSecond = 1000;
 
+// Time over which a usage bound grows at most. A longer time comes from a clock
+// that was set.
+constexpr Millis kMaxPacedTime = std::chrono::hours(24 * 365);
+
 // Low-water mark of a budget. Above it, a grant takes at most half of what is
 // left, so that one holder does not hold tokens that the others need. Below it,
 // half would be less than one request with a model's default output limit.
@@ -72,9 +76,8 @@
   reply.limit = budget.limit;
   reply.billed = budget.billed;
   const auto own = budget.grants.find(holder);
-  reply.others_outstanding =
-      Outstanding(budget) -
-      (own == budget.grants.end() ? 0 : own->second.outstanding);
+  reply.held = own == budget.grants.end() ? 0 : own->second.outstanding;
+  reply.others_outstanding = Outstanding(budget) - reply.held;
   return reply;
 }
 
@@ -99,8 +102,8 @@
     return false;
   }
   left -= command.settled;
-  return command.armed >= 0 && command.pace >= 0 && command.returned >= 0 &&
-         command.returned <= left;
+  return command.want >= 0 && command.least >= 0 && command.armed >= 0 &&
+         command.pace >= 0 && command.returned >= 0 && command.returned <= left;
 }
 
 void SettleBills(ShardState& state,
@@ -376,9 +379,10 @@
   const Millis slow_time = std::clamp(since_stamp - kStampGrace, Millis{0},
                                       kDisconnectTime - kStampGrace);
   const Millis fast_time = std::max(since_stamp - kDisconnectTime, Millis{0});
-  return armed + pace *
-                     (slow_time + fast_time * kDisconnectedPaceFactor).count() /
-                     kMillisPerSecond;
+  const Millis paced_time =
+      slow_time + std::min(fast_time, kMaxPacedTime) * kDisconnectedPaceFactor;
+  return AddTokens(armed,
+                   ScaleTokens(pace, paced_time.count(), kMillisPerSecond));
 }
 
 Millis TimeUntilUsageBound(Tokens armed, Tokens pace, Tokens amount) {
@@ -386,7 +390,7 @@
     return Millis{0};
   }
   // Rounded up.
-  const Millis growth{(amount - armed) * kMillisPerSecond / pace + 1};
+  const Millis growth{ScaleTokens(amount - armed, kMillisPerSecond, pace) + 1};
   constexpr Millis kSlowGrowth = kDisconnectTime - kStampGrace;
   return growth <= kSlowGrowth
              ? kStampGrace + growth
--- a/src/shard_state.h
+++ b/src/shard_state.h
@@ -202,8 +202,8 @@
   kExists,
   // The key was used with another request body.
   kKeyReused,
-  // The attempt does not hold the claim, or the holder settles or returns more
-  // than it holds.
+  // The attempt does not hold the claim, the holder settles or returns more
+  // than it holds, or an amount is negative.
   kNotHeld,
   // The sequence number is neither the last one nor the next one. A holder that
   // gets this reply to its latest exchange has no outstanding tokens in the
@@ -226,6 +226,9 @@
   Tokens limit = 0;
   Tokens billed = 0;
   Tokens others_outstanding = 0;
+  // Exchange: the holder's own outstanding tokens. A rejected exchange has not
+  // settled any of them.
+  Tokens held = 0;
   bool operator==(const ShardReply&) const = default;
 };
 
--- a/src/types.cc
+++ b/src/types.cc
@@ -4,6 +4,7 @@
 #include <xxhash.h>
 
 #include <QRandomGenerator>
+#include <algorithm>
 
 namespace crocuslatch {
 
@@ -25,6 +26,27 @@
   return XXH3_64bits_withSeed(text.data(), text.size(), seed);
 }
 
+Tokens AddTokens(Tokens a, Tokens b) {
+  Tokens sum = 0;
+  if (__builtin_add_overflow(a, b, &sum)) {
+    return a < 0 ? -kMaxTokens : kMaxTokens;
+  }
+  return std::clamp(sum, -kMaxTokens, kMaxTokens);
+}
+
+Tokens ScaleTokens(Tokens amount, std::int64_t factor, std::int64_t divisor) {
+  Tokens product = 0;
+  if (!__builtin_mul_overflow(amount, factor, &product)) {
+    return std::clamp(product / divisor, -kMaxTokens, kMaxTokens);
+  }
+  // The product does not fit, so its size matters more than its last digits.
+  const double scaled = static_cast<double>(amount) *
+                        static_cast<double>(factor) /
+                        static_cast<double>(divisor);
+  constexpr auto kLimit = static_cast<double>(kMaxTokens);
+  return static_cast<Tokens>(std::clamp(scaled, -kLimit, kLimit));
+}
+
 std::uint32_t ShardOfBudget(std::string_view budget,
                             std::uint32_t shard_count) {
   return static_cast<std::uint32_t>(StableHash(budget) % shard_count);
--- a/src/types.h
+++ b/src/types.h
@@ -18,6 +18,15 @@
 // An amount of model tokens. Prices of orders are stated in the same unit.
 using Tokens = std::int64_t;
 
+// Largest amount in messages and stored values. Larger amounts that callers
+// state are taken as this one, which no budget exceeds.
+inline constexpr Tokens kMaxTokens = Tokens{1} << 53;
+
+// Return `a + b` and `amount * factor / divisor`, limited to [-kMaxTokens,
+// kMaxTokens]. `divisor` must be above 0.
+Tokens AddTokens(Tokens a, Tokens b);
+Tokens ScaleTokens(Tokens amount, std::int64_t factor, std::int64_t divisor);
+
 // 128-bit hash that identifies a request of one client account for
 // deduplication.
 struct RequestKey {
--- a/tests/correctness/desired_state_test.cc
+++ b/tests/correctness/desired_state_test.cc
@@ -122,6 +122,12 @@
        {"10.0.0.1:80", "somewhere"},
        {"\"slots\":6", "\"slots\":0"},
        {"\"slots\":6", "\"slots\":\"6\""},
+       {"\"slots\":6", "\"slots\":9007199254740992"},
+       {"\"slots\":6", "\"slots\":4294967302"},
+       {"\"slots\":6", "\"slots\":1e999"},
+       {"10.0.0.1:80", "10.0.0.1:65536"},
+       {"10.0.0.1:80", "10.0.0.1:4294967376"},
+       {"\"z\"", std::string(5000, '[') + std::string(5000, ']')},
        {"\"sequence\":3", "\"other\":3"},
        {"\"born\":1700000000000", "\"born\":\"early\""},
        {"{\"service\"", "\"service\""}}));
--- a/tests/correctness/forwarding_test.cc
+++ b/tests/correctness/forwarding_test.cc
@@ -304,4 +304,63 @@
   CHECK(it.SendAndWait(request("a:800,own:200")).status == 200);
 }
 
+// Guards against a request that ends the process or opens a budget by the size
+// that it states (review/3). Clients state the largest 64-bit number to say
+// that they set no limit.
+TEST_CASE(
+    "a request of any stated size is refused like one that is too large") {
+  const std::string counts = GENERATE(
+      "1,9223372036854775807", "9223372036854775807,9223372036854775807",
+      "1460,9223372036854774347", "1,18446744073709551615",
+      "1,99999999999999999999999999");
+  const std::string parts =
+      GENERATE("a:1,b:1", "a:9223372036854775807,b:9223372036854775807,c:1",
+               "a:99999999999999999999,b:9223372036854775807,c:1");
+  Fixture it;
+  std::vector<Tokens> asked;
+  it.context->reserve = [&](const auto&, Tokens amount, Millis,
+                            const auto& callback) {
+    asked.push_back(amount);
+    callback(ReserveStatus::kInsufficient);
+  };
+  auto request = it.Request("POST", "/stream/1");
+  const auto set = [&](const std::string& name, const std::string& value) {
+    std::ranges::find(request.headers, name, [](auto& h) {
+      return h.first;
+    })->second = value;
+  };
+  set("Crocuslatch-Token-Counts", counts);
+  set("Crocuslatch-Prompt-Prefix", parts);
+  request.headers.push_back({"Crocuslatch-Length-Hint", "9223372036854775807"});
+  request.headers.push_back(
+      {"Crocuslatch-Request-Deadline", "9999999999999999999999"});
+  CHECK(it.SendAndWait(request).status == 402);
+  REQUIRE(asked.size() == 1);
+  CHECK(asked[0] > 1'000'000);
+  // Without a budget, the request reaches a server with its own counts.
+  auto state = it.table->state();
+  state.client_accounts[0].prepaid.reset();
+  it.table = std::make_shared<RoutingTable>(state);
+  it.respond = [](const IncomingRequest&, HttpReply reply) {
+    reply.SendResponse(200, Fixture::Sealed(), "id: 1\ndata: x\n\n");
+  };
+  CHECK(it.SendAndWait(request).status == 200);
+  REQUIRE(it.received.size() == 1);
+  CHECK(FindHeader(it.received[0].headers, "Crocuslatch-Token-Counts") ==
+        counts);
+}
+
+// Guards against an error for a sign or text in the place of a count.
+TEST_CASE("counts that are no numbers are refused as malformed") {
+  const std::string counts =
+      GENERATE("-1,5", "1,-99999999999999999999", "1", "1,2,3", "a,b", "1,2x");
+  Fixture it;
+  auto request = it.Request("POST", "/stream/1");
+  std::ranges::find(request.headers, "Crocuslatch-Token-Counts", [](auto& h) {
+    return h.first;
+  })->second = counts;
+  CHECK(it.SendAndWait(request).status == 400);
+  CHECK(it.received.empty());
+}
+
 }  // namespace crocuslatch
--- a/tests/correctness/grant_table_test.cc
+++ b/tests/correctness/grant_table_test.cc
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <catch2/catch.hpp>
+#include <limits>
 #include <map>
 #include <mutex>
 #include <thread>
@@ -100,11 +101,16 @@
 
 // Guards against a recall wait when there is no holder to return tokens.
 TEST_CASE("a request is refused at once if there is no other holder") {
-  Routers routers(1);
+  Routers routers(2);
+  REQUIRE(routers.Reserve(1, 400) == ReserveStatus::kReserved);
+  routers.tables[1]->Settle("b", 400, {{1, 1}, 400});
+  routers.tables[1]->ReturnAll([] {});
+  routers.Run(1000);
+  const Tokens amount = GENERATE(601, 1000, 1001);
   const Millis before = routers.ledger.loop.now();
-  CHECK(routers.Reserve(0, 1001) == ReserveStatus::kInsufficient);
+  CHECK(routers.Reserve(0, amount) == ReserveStatus::kInsufficient);
   CHECK(routers.ledger.loop.now() - before < Millis(50));
-  CHECK(Available(routers.Budget()) == 1000);
+  CHECK(Available(routers.Budget()) == 600);
 }
 
 // Guards against a raised limit that takes effect only after a restart.
@@ -274,4 +280,79 @@
   CHECK(DecodeCommands(EncodeCommands(seen)) == seen);
 }
 
+// Guards against a request whose size makes a sum overflow (review/3): its
+// exchange was rejected, the bills in it were forgotten, and the tokens that
+// they had used were granted again.
+TEST_CASE("no size of a request frees tokens that are used") {
+  const Tokens amount = GENERATE(Tokens{1001}, (Tokens{1} << 53) + 1,
+                                 std::numeric_limits<Tokens>::max() / 2,
+                                 std::numeric_limits<Tokens>::max());
+  GrantTableOptions options;
+  options.shard_count = 1;
+  options.has_usage_bounds = true;
+  options.settles_without_keys = true;
+  options.spare_horizon = Millis{2000};
+  options.min_spare_requests = 1;
+  LedgerFixture ledger;
+  GrantTable table(
+      options, HolderId{"a", 1}, ledger.loop.Hooks(), ledger.MakeWriter(),
+      [](const std::string&) { return std::optional<Tokens>(1000); });
+  Tokens used = 0;
+  for (int i = 0; i < 8; ++i) {
+    std::optional<ReserveStatus> huge;
+    table.Reserve("b", amount, Millis{200}, [&](auto it) { huge = it; });
+    table.Reserve("b", 200, Millis{200}, [&](ReserveStatus it) {
+      if (it == ReserveStatus::kReserved) {
+        table.Settle("b", 200, {{1, 1}, 200});
+        used += 200;
+      }
+    });
+    ledger.loop.RunFor(Millis{300});
+    CHECK(huge == ReserveStatus::kInsufficient);
+  }
+  CHECK(used == 1000);
+  ledger.loop.RunFor(Millis{3000});
+  CHECK(ledger.Stored().budgets.at("b").billed == 1000);
+}
+
+// Guards against bills that a rejected exchange carried and that are forgotten:
+// the next exchange opened the grant anew, which freed the used tokens.
+TEST_CASE("a rejected exchange keeps the bills that it carried") {
+  const bool has_keys = GENERATE(true, false);
+  GrantTableOptions options;
+  options.shard_count = 1;
+  options.settles_without_keys = !has_keys;
+  LedgerFixture ledger;
+  const auto writer = ledger.MakeWriter();
+  int rejections = 0;
+  GrantTable table(
+      options, HolderId{"a", 1}, ledger.loop.Hooks(),
+      [&](std::uint32_t shard, std::vector<ShardCommand> commands,
+          Millis timeout, LedgerCallback callback) {
+        auto* exchange = std::get_if<ExchangeCommand>(&commands.back());
+        if (rejections < 3 && exchange->sequence > 1) {
+          // As if the holder had sent a malformed amount.
+          ++rejections;
+          exchange->pace = -1;
+        }
+        writer(shard, std::move(commands), timeout, std::move(callback));
+      },
+      [](const std::string&) { return std::optional<Tokens>(1000); });
+  std::optional<ReserveStatus> status;
+  table.Reserve("b", 600, Millis{500}, [&](auto it) { status = it; });
+  ledger.loop.RunFor(Millis{500});
+  REQUIRE(status == ReserveStatus::kReserved);
+  table.Settle("b", 600, {{1, 1}, 600});
+  ledger.loop.RunFor(Millis{8000});
+  CHECK(rejections == 3);
+  CHECK(ledger.Stored().budgets.at("b").billed == 600);
+  status.reset();
+  table.Reserve("b", 500, Millis{500}, [&](auto it) { status = it; });
+  ledger.loop.RunFor(Millis{1000});
+  CHECK(status == ReserveStatus::kInsufficient);
+  table.ReturnAll([] {});
+  ledger.loop.RunFor(Millis{1000});
+  CHECK(Available(ledger.Stored().budgets.at("b")) == 400);
+}
+
 }  // namespace crocuslatch
--- a/tests/correctness/shard_state_test.cc
+++ b/tests/correctness/shard_state_test.cc
@@ -169,4 +169,26 @@
   CHECK(Available(state.budgets.at("b")) == 1000);
 }
 
+// Guards against a usage bound that overflows to a small or negative one: a
+// reclaim would then free tokens that the dead holder has used.
+TEST_CASE("a usage bound of any size does not overflow") {
+  const Tokens huge = Tokens{1} << 53;
+  const Millis lived = GENERATE(Millis{5000}, Millis{Tokens{1} << 53});
+  CHECK(UsageBound(huge, huge, lived) >= huge);
+  CHECK(UsageBound(0, huge, lived) >= 1000);
+  CHECK(TimeUntilUsageBound(0, 1, huge) >= Millis{1'000'000});
+}
+
+// Guards against a grant of a negative amount, which adds to the budget.
+TEST_CASE("an exchange with a negative amount is rejected") {
+  ShardState state;
+  Apply(state, SetLimitCommand{"b", 1000}, 0);
+  ExchangeCommand command{.budget = "b", .holder = {"h", 1}, .sequence = 1};
+  command.opens = true;
+  command.want = -500;
+  command.least = -500;
+  CHECK(Apply(state, command, 0).status == ReplyStatus::kNotHeld);
+  CHECK(Available(state.budgets.at("b")) == 1000);
+}
+
 }  // namespace crocuslatch
--- a/tests/error/http_server_test.cc
+++ b/tests/error/http_server_test.cc
@@ -206,21 +206,21 @@
 // in a planned stop with other requests in flight.
 TEST_CASE("a response that cannot be sent ends its request once") {
   using Respond = std::function<void(HttpReply&)>;
-  const Respond respond = GENERATE(
-      Respond([](HttpReply& it) { it.SendResponse(200, {}, "done"); }),
-      Respond([](HttpReply& it) {
-        it.CloseAfterResponse();
-        it.SendResponse(200, {}, "done");
-      }),
-      Respond([](HttpReply& it) {
-        it.StartStream(200, {});
-        it.Write("part");
-        it.EndStream();
-      }),
-      Respond([](HttpReply& it) {
-        it.StartStream(200, {});
-        it.Abort();
-      }));
+  const Respond respond =
+      GENERATE(Respond([](HttpReply& it) { it.SendResponse(200, {}, "done"); }),
+               Respond([](HttpReply& it) {
+                 it.CloseAfterResponse();
+                 it.SendResponse(200, {}, "done");
+               }),
+               Respond([](HttpReply& it) {
+                 it.StartStream(200, {});
+                 it.Write("part");
+                 it.EndStream();
+               }),
+               Respond([](HttpReply& it) {
+                 it.StartStream(200, {});
+                 it.Abort();
+               }));
   std::map<std::string, HttpReply> replies;
   HttpServer http_server(
       {}, [&](const IncomingRequest& request, const HttpReply& reply) {
