End every loan of tokens exactly once, also those whose borrower has gone on

Cause: the frozen home served the requests for loans that had waited in its sockets. Their borrowers had gone on, so nobody settled the loans, and after 60 s they were billed. The same happened to a reply that was not sent, a settlement that was lost, and the late reply of a peer.

Change: the borrower numbers each loan and repeats its end until the lender confirms it; the lender (app/token_lender, split from app/token_loans) ends a loan whose reply cannot be sent, remembers loans given up before their request arrived, and lends nothing for requests that were unread for as long as the borrower waits.

--- a/app/front.cc
+++ b/app/front.cc
@@ -17,6 +17,7 @@
 #include "app/relayed_store.h"
 #include "app/server_registry_reader.h"
 #include "app/stamp_writer.h"
+#include "app/token_lender.h"
 #include "app/token_loans.h"
 #include "app/write_batching.h"
 #include "core/budget_homes.h"
@@ -208,6 +209,7 @@
   std::unique_ptr<HostDirectory> hosts;
   std::unique_ptr<PromptQuarantine> quarantine;
   std::unique_ptr<PeerNetwork> peer_network;
+  std::unique_ptr<TokenLender> token_lender;
   std::unique_ptr<TokenLoans> token_loans;
   std::unique_ptr<LoadBroadcast> load_broadcast;
   std::unique_ptr<StampWriter> stamp_writer;
@@ -641,7 +643,7 @@
                               const wire::Envelope& message,
                               const auto& reply) {
       if (!load_broadcast->OnMessage(host, message) &&
-          !token_loans->OnMessage(host, message, reply)) {
+          !token_lender->OnMessage(host, message, reply)) {
         relayed_store.OnMessage(message, reply);
       }
     };
@@ -654,27 +656,38 @@
           .Add("remedy", error.remedy());
       return;
     }
+    token_lender = std::make_unique<TokenLender>(
+        TokenLenderOptions{}, loop,
+        TokenLenderHooks{
+            .reserve =
+                [this](const std::string& budget, Tokens amount,
+                       double retained_fraction) {
+                  return grants->ReserveForPeer(budget, amount,
+                                                retained_fraction);
+                },
+            .reserve_waiting =
+                [this](const std::string& budget, Tokens amount, Millis wait,
+                       auto callback) {
+                  grants->Reserve(budget, amount, wait, std::move(callback));
+                },
+            .settle =
+                [this](const std::string& budget, Tokens reserved,
+                       Tokens used) {
+                  context->settle(budget, reserved, used);
+                },
+            .unread_time =
+                [this] { return loop_lag.MaxUnreadTime(loop.now()); }});
     token_loans = std::make_unique<TokenLoans>(
-        TokenLoansOptions{}, loop, peer_network.get(),
-        TokenLoansHooks{.peers = [this] { return hosts->OtherHosts(); },
-                        .random = &RandomDouble,
-                        .reserve =
-                            [this](const std::string& budget, Tokens amount,
-                                   double retained_fraction) {
-                              return grants->ReserveForPeer(budget, amount,
-                                                            retained_fraction);
-                            },
-                        .settle =
-                            [this](const std::string& budget, Tokens reserved,
-                                   Tokens used) {
-                              context->settle(budget, reserved, used);
-                            },
-                        .reserve_waiting =
-                            [this](const std::string& budget, Tokens amount,
-                                   Millis wait, auto callback) {
-                              grants->Reserve(budget, amount, wait,
-                                              std::move(callback));
-                            }});
+        TokenLoansOptions{}, loop,
+        TokenLoansHooks{
+            .peers = [this] { return hosts->OtherHosts(); },
+            .random = &RandomDouble,
+            .request =
+                [this](const std::string& host, const BodyPacker& body,
+                       Millis timeout, auto on_reply) {
+                  peer_network->Request(host, body, timeout,
+                                        std::move(on_reply));
+                }});
     relayed_store.SetNetwork(peer_network.get());
     load_broadcast = std::make_unique<LoadBroadcast>(
         LoadBroadcastOptions{}, loop, peer_network.get(), &placement,
--- a/app/token_loans.cc
+++ b/app/token_loans.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <utility>
+#include <vector>
 
 #include "app/peer_order.h"
 #include "src/log.h"
@@ -12,48 +13,140 @@
 
 BodyPacker PackLoanRequest(const std::string& budget,
                            Tokens amount,
-                           Millis wait) {
-  return [budget, amount, wait](flatbuffers::FlatBufferBuilder& builder) {
-    return PackedBody{
-        wire::Body::LoanRequest,
-        wire::CreateLoanRequestDirect(builder, budget.c_str(), amount,
-                                      static_cast<std::uint32_t>(wait.count()))
-            .Union()};
+                           std::uint64_t number,
+                           Millis wait,
+                           Millis timeout) {
+  return [=](flatbuffers::FlatBufferBuilder& builder) {
+    return PackedBody{wire::Body::LoanRequest,
+                      wire::CreateLoanRequestDirect(
+                          builder, budget.c_str(), amount,
+                          static_cast<std::uint32_t>(wait.count()), number,
+                          static_cast<std::uint32_t>(timeout.count()))
+                          .Union()};
   };
 }
 
-BodyPacker PackLoanReply(std::uint64_t id, bool is_exhausted = false) {
-  return [id, is_exhausted](flatbuffers::FlatBufferBuilder& builder) {
-    return PackedBody{wire::Body::LoanReply,
-                      wire::CreateLoanReply(builder, id, is_exhausted).Union()};
+BodyPacker PackLoanSettlement(std::uint64_t lender_id,
+                              Tokens used,
+                              std::uint64_t number) {
+  return [=](flatbuffers::FlatBufferBuilder& builder) {
+    return PackedBody{
+        wire::Body::LoanSettlement,
+        wire::CreateLoanSettlement(builder, lender_id, used, number).Union()};
   };
 }
 
-BodyPacker PackLoanSettlement(std::uint64_t id, Tokens used) {
-  return [id, used](flatbuffers::FlatBufferBuilder& builder) {
-    return PackedBody{wire::Body::LoanSettlement,
-                      wire::CreateLoanSettlement(builder, id, used).Union()};
-  };
+const wire::LoanReply* ReadReply(const wire::Envelope* message) {
+  return message == nullptr ? nullptr : message->body_as_LoanReply();
 }
 
 }  // namespace
 
 struct TokenLoans::Core : std::enable_shared_from_this<TokenLoans::Core> {
-  struct LentLoan {
-    std::string host;
-    std::string budget;
+  // A loan that this host asked for. It is kept until the lender says that it
+  // lends nothing, or has confirmed the settlement.
+  struct Borrowed {
+    std::string lender;
     Tokens amount = 0;
+    // `loan` of the lender's reply; 0 before it.
+    std::uint64_t lender_id = 0;
+    // The lender has an older version, which confirms no settlement.
+    bool is_unconfirmed = false;
+    // Set when the loan has ended.
+    std::optional<Tokens> used;
+    Millis ended_at{0};
   };
   using Callback = std::function<void(std::optional<Loan>)>;
 
   TokenLoansOptions options;
   EventLoop loop;
-  PeerNetwork* network = nullptr;
   TokenLoansHooks hooks;
-  std::map<std::uint64_t, LentLoan> lent_loans;
-  std::uint64_t last_loan_id = 0;
+  std::map<std::uint64_t, Borrowed> borrowed_loans;
+  std::uint64_t last_number = 0;
   std::map<std::string, Millis> backoff_until;
 
+  std::uint64_t AddLoan(const std::string& lender, Tokens amount) {
+    borrowed_loans[++last_number] = {.lender = lender, .amount = amount};
+    return last_number;
+  }
+
+  // Records the lender's reply. Returns the loan if it was not given up before.
+  std::optional<Loan> OnLoanReply(std::uint64_t number,
+                                  const wire::LoanReply& reply) {
+    const auto it = borrowed_loans.find(number);
+    if (it == borrowed_loans.end() || it->second.used) {
+      return std::nullopt;
+    }
+    if (reply.loan() == 0) {
+      borrowed_loans.erase(it);
+      return std::nullopt;
+    }
+    it->second.lender_id = reply.loan();
+    it->second.is_unconfirmed = reply.number() != number;
+    return Loan{it->second.lender, number, it->second.amount};
+  }
+
+  // Ends a loan, whether or not its lender has lent it, and tells the lender
+  // until it confirms that.
+  void EndLoan(std::uint64_t number, Tokens used) {
+    const auto it = borrowed_loans.find(number);
+    if (it == borrowed_loans.end() || it->second.used) {
+      return;
+    }
+    it->second.used = used;
+    it->second.ended_at = loop.now();
+    SendSettlement(number, options.settlement_retry_delay);
+  }
+
+  void SendSettlement(std::uint64_t number, Millis retry_delay) {
+    const auto it = borrowed_loans.find(number);
+    if (it == borrowed_loans.end()) {
+      return;
+    }
+    const Borrowed& loan = it->second;
+    hooks.request(
+        loan.lender, PackLoanSettlement(loan.lender_id, *loan.used, number),
+        options.late_reply_timeout,
+        [self = weak_from_this(), number,
+         retry_delay](const wire::Envelope* message) {
+          if (const auto core = self.lock()) {
+            core->OnSettlementReply(number, retry_delay, ReadReply(message));
+          }
+        });
+    if (loan.is_unconfirmed) {
+      borrowed_loans.erase(it);
+    }
+  }
+
+  void OnSettlementReply(std::uint64_t number,
+                         Millis retry_delay,
+                         const wire::LoanReply* reply) {
+    const auto it = borrowed_loans.find(number);
+    if (it == borrowed_loans.end()) {
+      return;
+    }
+    if (reply != nullptr && reply->number() == number) {
+      borrowed_loans.erase(it);
+      return;
+    }
+    if (loop.now() - it->second.ended_at >= options.settlement_lifetime) {
+      LogLine(LogEvent::kLoanUnconfirmed)
+          .Add("host", it->second.lender)
+          .Add("loan", number)
+          .Add("tokens", it->second.amount)
+          .Add("used", *it->second.used);
+      borrowed_loans.erase(it);
+      return;
+    }
+    loop.after(retry_delay, [self = weak_from_this(), number, retry_delay] {
+      if (const auto core = self.lock()) {
+        core->SendSettlement(
+            number, std::min(2 * retry_delay,
+                             core->options.max_settlement_retry_delay));
+      }
+    });
+  }
+
   std::vector<std::string> PeersToAsk() const {
     return OrderPeers({.peers = hooks.peers(),
                        .backoff_until = backoff_until,
@@ -72,21 +165,25 @@
     }
     const auto host = std::move(peers.back());
     peers.pop_back();
-    network->Request(
-        host, PackLoanRequest(budget, amount, Millis{0}), options.peer_timeout,
-        [self = weak_from_this(), peers = std::move(peers), host, budget,
-         amount, callback](const wire::Envelope* message) {
+    const auto number = AddLoan(host, amount);
+    hooks.request(
+        host,
+        PackLoanRequest(budget, amount, number, Millis{0},
+                        options.peer_timeout),
+        options.peer_timeout,
+        [self = weak_from_this(), peers = std::move(peers), host, number,
+         budget, amount, callback](const wire::Envelope* message) {
           const auto core = self.lock();
           if (!core) {
             return;
           }
-          const auto* reply =
-              message == nullptr ? nullptr : message->body_as_LoanReply();
+          const auto* reply = ReadReply(message);
           if (reply == nullptr) {
             core->backoff_until[host] =
                 core->loop.now() + core->options.peer_backoff;
-          } else if (reply->loan() != 0) {
-            callback(Loan{host, reply->loan(), amount});
+            core->EndLoan(number, 0);
+          } else if (const auto loan = core->OnLoanReply(number, *reply)) {
+            callback(loan);
             return;
           }
           core->AskNextPeer(peers, budget, amount, callback);
@@ -100,14 +197,10 @@
     Tokens amount = 0;
     // Null once the result is known.
     std::function<void(const HomeReservation&)> callback;
+    // Loans that homes were asked for.
+    std::vector<std::uint64_t> numbers;
     // Homes that have neither replied nor timed out.
     int open_requests = 0;
-
-    void Finish(const HomeReservation& result) {
-      if (const auto hook = std::exchange(callback, nullptr)) {
-        hook(result);
-      }
-    }
   };
   using HomeQueryPtr = std::shared_ptr<HomeQuery>;
 
@@ -117,6 +210,20 @@
   };
   std::map<std::string, HomeBackoff> home_backoffs;
 
+  // Gives up all loans of the query but that of the result.
+  void Finish(const HomeQueryPtr& query, const HomeReservation& result) {
+    const auto hook = std::exchange(query->callback, nullptr);
+    if (!hook) {
+      return;
+    }
+    for (const auto it : query->numbers) {
+      if (!result.loan || it != result.loan->id) {
+        EndLoan(it, 0);
+      }
+    }
+    hook(result);
+  }
+
   void AskNextHome(const HomeQueryPtr& query) {
     const Millis now = loop.now();
     std::erase_if(query->homes, [&](const std::string& it) {
@@ -125,24 +232,28 @@
     });
     if (query->homes.empty()) {
       if (query->open_requests == 0) {
-        query->Finish({});
+        Finish(query, {});
       }
       return;
     }
     const auto host = query->homes.front();
     query->homes.erase(query->homes.begin());
+    const auto number = AddLoan(host, query->amount);
+    query->numbers.push_back(number);
     ++query->open_requests;
     const auto is_open = std::make_shared<bool>(true);
-    network->Request(
-        host, PackLoanRequest(query->budget, query->amount, options.home_wait),
-        options.late_reply_timeout,
-        [self = weak_from_this(), host, query,
-         is_open](const wire::Envelope* message) {
-          if (const auto core = self.lock()) {
-            core->OnHomeReply(host, query, *is_open, message);
-            *is_open = false;
-          }
-        });
+    hooks.request(host,
+                  PackLoanRequest(query->budget, query->amount, number,
+                                  options.home_wait, options.home_timeout),
+                  options.late_reply_timeout,
+                  [self = weak_from_this(), host, query, number,
+                   is_open](const wire::Envelope* message) {
+                    if (const auto core = self.lock()) {
+                      core->OnHomeReply(host, query, number,
+                                        std::exchange(*is_open, false),
+                                        ReadReply(message));
+                    }
+                  });
     loop.after(options.home_timeout,
                [self = weak_from_this(), host, query, is_open] {
                  const auto core = self.lock();
@@ -174,11 +285,11 @@
   // `is_open` is false if the home already counts as silent.
   void OnHomeReply(const std::string& host,
                    const HomeQueryPtr& query,
+                   std::uint64_t number,
                    bool is_open,
-                   const wire::Envelope* message) {
-    const auto* reply =
-        message == nullptr ? nullptr : message->body_as_LoanReply();
+                   const wire::LoanReply* reply) {
     if (reply == nullptr) {
+      EndLoan(number, 0);
       if (is_open) {
         OnHomeSilent(host, query);
       }
@@ -186,104 +297,20 @@
     }
     query->open_requests -= is_open ? 1 : 0;
     home_backoffs.erase(host);
-    if (reply->loan() != 0) {
-      const Loan loan{host, reply->loan(), query->amount};
-      if (query->callback) {
-        query->Finish({.loan = loan});
-      } else {
-        // Another home was faster.
-        network->Send(host, PackLoanSettlement(loan.id, 0));
-      }
+    if (const auto loan = OnLoanReply(number, *reply)) {
+      Finish(query, {.loan = loan});
     } else if (reply->is_exhausted() || query->open_requests == 0) {
-      query->Finish({.is_exhausted = reply->is_exhausted()});
-    }
-  }
-
-  void OnLoanRequest(const std::string& host,
-                     const wire::LoanRequest& request,
-                     const std::function<void(const BodyPacker&)>& reply) {
-    const auto budget = request.budget()->str();
-    const Tokens amount = request.amount();
-    if (amount > 0 && request.wait_ms() > 0 && hooks.reserve_waiting) {
-      LendAfterWait(host, budget, amount,
-                    std::min(Millis{request.wait_ms()}, options.home_wait),
-                    reply);
-      return;
-    }
-    if (amount <= 0 ||
-        !hooks.reserve(budget, amount, options.retained_fraction)) {
-      reply(PackLoanReply(0));
-      return;
-    }
-    Lend(host, budget, amount, reply);
-  }
-
-  void LendAfterWait(const std::string& host,
-                     const std::string& budget,
-                     Tokens amount,
-                     Millis wait,
-                     const std::function<void(const BodyPacker&)>& reply) {
-    hooks.reserve_waiting(
-        budget, amount, wait,
-        [self = weak_from_this(), host, budget, amount,
-         reply](ReserveStatus status) {
-          const auto core = self.lock();
-          if (!core) {
-            return;
-          }
-          if (status == ReserveStatus::kReserved) {
-            core->Lend(host, budget, amount, reply);
-            return;
-          }
-          reply(PackLoanReply(0, status == ReserveStatus::kInsufficient));
-        });
-  }
-
-  // Records the loan of tokens that are reserved, and tells the borrower.
-  void Lend(const std::string& host,
-            const std::string& budget,
-            Tokens amount,
-            const std::function<void(const BodyPacker&)>& reply) {
-    const auto id = ++last_loan_id;
-    lent_loans.emplace(id, LentLoan{host, budget, amount});
-    loop.after(options.loan_timeout, [self = weak_from_this(), id, host] {
-      if (const auto core = self.lock()) {
-        // The borrower may have died after its request ran.
-        core->Settle(id, host, std::nullopt);
-      }
-    });
-    LogLine(LogEvent::kTokensLent)
-        .Add("host", host)
-        .Add("budget", budget)
-        .Add("tokens", amount)
-        .Add("loan", id);
-    reply(PackLoanReply(id));
-  }
-
-  // Ends a loan to `host`. Without `used`, all of its tokens count as used.
-  void Settle(std::uint64_t id,
-              const std::string& host,
-              std::optional<Tokens> used) {
-    const auto it = lent_loans.find(id);
-    if (it == lent_loans.end() || it->second.host != host) {
-      return;
+      Finish(query, {.is_exhausted = reply->is_exhausted()});
     }
-    const LentLoan loan = it->second;
-    lent_loans.erase(it);
-    hooks.settle(
-        loan.budget, loan.amount,
-        std::clamp<Tokens>(used.value_or(loan.amount), 0, loan.amount));
   }
 };
 
 TokenLoans::TokenLoans(TokenLoansOptions options,
                        EventLoop loop,
-                       PeerNetwork* network,
                        TokenLoansHooks hooks)
     : core_(std::make_shared<Core>()) {
   core_->options = options;
   core_->loop = std::move(loop);
-  core_->network = network;
   core_->hooks = std::move(hooks);
 }
 
@@ -310,22 +337,7 @@
 }
 
 void TokenLoans::Repay(const Loan& loan, Tokens used) {
-  core_->network->Send(loan.host, PackLoanSettlement(loan.id, used));
-}
-
-bool TokenLoans::OnMessage(
-    const std::string& host,
-    const wire::Envelope& message,
-    const std::function<void(const BodyPacker&)>& reply) {
-  if (const auto* request = message.body_as_LoanRequest()) {
-    core_->OnLoanRequest(host, *request, reply);
-    return true;
-  }
-  if (const auto* settlement = message.body_as_LoanSettlement()) {
-    core_->Settle(settlement->loan(), host, settlement->used());
-    return true;
-  }
-  return false;
+  core_->EndLoan(loan.id, used);
 }
 
 }  // namespace crocuslatch
--- a/app/token_loans.h
+++ b/app/token_loans.h
@@ -8,18 +8,23 @@
 #include <vector>
 
 #include "src/event_loop.h"
-#include "src/grant_table.h"
-#include "src/peer_network.h"
+#include "src/peer_link.h"
 
-// Defines loans of tokens between hosts: a request whose host has no tokens
-// left uses spare tokens of another host, and the lender accounts for them as
-// its own usage.
+// Defines the borrower's side of loans between hosts: a request whose host has
+// no tokens left uses spare tokens of another host, and the lender accounts for
+// them as its own usage (app/token_lender.h).
+//
+// Each loan that is asked for ends exactly once: the lender lends nothing, the
+// request has ended, or the loan was given up, because its reply took too long
+// or another home was faster. The last two are told to the lender until it
+// confirms them.
 
 namespace crocuslatch {
 
 // Tokens that a peer reserved for one request of this host.
 struct Loan {
   std::string host;
+  // Chosen by this host, unique in its process.
   std::uint64_t id = 0;
   Tokens amount = 0;
   auto operator<=>(const Loan&) const = default;
@@ -32,11 +37,6 @@
   std::size_t max_peers = 8;
   // A peer that did not reply in time is not asked again for this time.
   Millis peer_backoff{1000};
-  // A loan that was not settled counts as fully used after this time, which
-  // exceeds the duration of any request.
-  Millis loan_timeout{60000};
-  // Fraction of its spare size that a host does not lend.
-  double retained_fraction = 0.1;
   // Time for which an account's home host may wait for the ledger, and the
   // timeout for its reply.
   Millis home_wait{250};
@@ -45,9 +45,15 @@
   // that holds the tokens replies within a few milliseconds, and one that
   // exchanges them with the ledger usually within this time.
   Millis home_hedge_delay{120};
-  // A reply that comes later, but within this time, still settles its loan as
-  // unused. Without it, the tokens would stay charged.
+  // A connection on which a reply takes longer than this is closed. A reply to
+  // a query that is still open is used until then.
   Millis late_reply_timeout{2000};
+  // Delay before a settlement that the lender did not confirm is sent again; it
+  // doubles up to the maximum. The lender counts the loan as used in the end,
+  // so that a settlement is of no use after its lifetime.
+  Millis settlement_retry_delay{500};
+  Millis max_settlement_retry_delay{8000};
+  Millis settlement_lifetime{60000};
   // A home that did not reply is left out for `peer_backoff`, which doubles
   // with each further failure up to this time. Homes are the hosts of many
   // accounts, and partitions last 4 to 9 s.
@@ -66,27 +72,17 @@
   std::function<std::vector<std::string>()> peers;
   // Returns a random number, uniform in [0, 1).
   std::function<double()> random;
-  // Reserves tokens of this host's grant for a borrower; `retained_fraction` of
-  // the spare size must stay free. Returns false if it cannot lend them.
-  std::function<
-      bool(const std::string& budget, Tokens amount, double retained_fraction)>
-      reserve;
-  std::function<void(const std::string& budget, Tokens reserved, Tokens used)>
-      settle;
-  // Like `reserve`, but may wait for the ledger, and keeps nothing free.
-  std::function<void(const std::string& budget,
-                     Tokens amount,
-                     Millis wait,
-                     std::function<void(ReserveStatus)>)>
-      reserve_waiting;
+  // Sends a message to a host; see PeerNetwork::Request.
+  std::function<void(const std::string& host,
+                     const BodyPacker& body,
+                     Millis timeout,
+                     PeerLink::ReplyCallback on_reply)>
+      request;
 };
 
 class TokenLoans {
  public:
-  TokenLoans(TokenLoansOptions options,
-             EventLoop loop,
-             PeerNetwork* network,
-             TokenLoansHooks hooks);
+  TokenLoans(TokenLoansOptions options, EventLoop loop, TokenLoansHooks hooks);
   ~TokenLoans();
 
   // Asks peers one after another. The callback gets nullopt if none of them
@@ -103,11 +99,6 @@
   // Settles the loan: its request has ended and spent `used` tokens.
   void Repay(const Loan& loan, Tokens used);
 
-  // Handles a peer's message. Returns false if it is not about loans.
-  bool OnMessage(const std::string& host,
-                 const wire::Envelope& message,
-                 const std::function<void(const BodyPacker&)>& reply);
-
  private:
   struct Core;
   std::shared_ptr<Core> core_;
--- a/src/peer_generated.h
+++ b/src/peer_generated.h
@@ -866,7 +866,9 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_BUDGET = 4,
     VT_AMOUNT = 6,
-    VT_WAIT_MS = 8
+    VT_WAIT_MS = 8,
+    VT_NUMBER = 10,
+    VT_TIMEOUT_MS = 12
   };
   const flatbuffers::String *budget() const {
     return GetPointer<const flatbuffers::String *>(VT_BUDGET);
@@ -877,12 +879,20 @@
   uint32_t wait_ms() const {
     return GetField<uint32_t>(VT_WAIT_MS, 0);
   }
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  uint32_t timeout_ms() const {
+    return GetField<uint32_t>(VT_TIMEOUT_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_BUDGET) &&
            verifier.VerifyString(budget()) &&
            VerifyField<int64_t>(verifier, VT_AMOUNT, 8) &&
            VerifyField<uint32_t>(verifier, VT_WAIT_MS, 4) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyField<uint32_t>(verifier, VT_TIMEOUT_MS, 4) &&
            verifier.EndTable();
   }
 };
@@ -900,6 +910,12 @@
   void add_wait_ms(uint32_t wait_ms) {
     fbb_.AddElement<uint32_t>(LoanRequest::VT_WAIT_MS, wait_ms, 0);
   }
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(LoanRequest::VT_NUMBER, number, 0);
+  }
+  void add_timeout_ms(uint32_t timeout_ms) {
+    fbb_.AddElement<uint32_t>(LoanRequest::VT_TIMEOUT_MS, timeout_ms, 0);
+  }
   explicit LoanRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -916,9 +932,13 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> budget = 0,
     int64_t amount = 0,
-    uint32_t wait_ms = 0) {
+    uint32_t wait_ms = 0,
+    uint64_t number = 0,
+    uint32_t timeout_ms = 0) {
   LoanRequestBuilder builder_(_fbb);
+  builder_.add_number(number);
   builder_.add_amount(amount);
+  builder_.add_timeout_ms(timeout_ms);
   builder_.add_wait_ms(wait_ms);
   builder_.add_budget(budget);
   return builder_.Finish();
@@ -928,20 +948,25 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *budget = nullptr,
     int64_t amount = 0,
-    uint32_t wait_ms = 0) {
+    uint32_t wait_ms = 0,
+    uint64_t number = 0,
+    uint32_t timeout_ms = 0) {
   auto budget__ = budget ? _fbb.CreateString(budget) : 0;
   return crocuslatch::wire::CreateLoanRequest(
       _fbb,
       budget__,
       amount,
-      wait_ms);
+      wait_ms,
+      number,
+      timeout_ms);
 }
 
 struct LoanReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef LoanReplyBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_LOAN = 4,
-    VT_IS_EXHAUSTED = 6
+    VT_IS_EXHAUSTED = 6,
+    VT_NUMBER = 8
   };
   uint64_t loan() const {
     return GetField<uint64_t>(VT_LOAN, 0);
@@ -949,10 +974,14 @@
   bool is_exhausted() const {
     return GetField<uint8_t>(VT_IS_EXHAUSTED, 0) != 0;
   }
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_LOAN, 8) &&
            VerifyField<uint8_t>(verifier, VT_IS_EXHAUSTED, 1) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
            verifier.EndTable();
   }
 };
@@ -967,6 +996,9 @@
   void add_is_exhausted(bool is_exhausted) {
     fbb_.AddElement<uint8_t>(LoanReply::VT_IS_EXHAUSTED, static_cast<uint8_t>(is_exhausted), 0);
   }
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(LoanReply::VT_NUMBER, number, 0);
+  }
   explicit LoanReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -981,8 +1013,10 @@
 inline flatbuffers::Offset<LoanReply> CreateLoanReply(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t loan = 0,
-    bool is_exhausted = false) {
+    bool is_exhausted = false,
+    uint64_t number = 0) {
   LoanReplyBuilder builder_(_fbb);
+  builder_.add_number(number);
   builder_.add_loan(loan);
   builder_.add_is_exhausted(is_exhausted);
   return builder_.Finish();
@@ -992,7 +1026,8 @@
   typedef LoanSettlementBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_LOAN = 4,
-    VT_USED = 6
+    VT_USED = 6,
+    VT_NUMBER = 8
   };
   uint64_t loan() const {
     return GetField<uint64_t>(VT_LOAN, 0);
@@ -1000,10 +1035,14 @@
   int64_t used() const {
     return GetField<int64_t>(VT_USED, 0);
   }
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_LOAN, 8) &&
            VerifyField<int64_t>(verifier, VT_USED, 8) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
            verifier.EndTable();
   }
 };
@@ -1018,6 +1057,9 @@
   void add_used(int64_t used) {
     fbb_.AddElement<int64_t>(LoanSettlement::VT_USED, used, 0);
   }
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(LoanSettlement::VT_NUMBER, number, 0);
+  }
   explicit LoanSettlementBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1032,8 +1074,10 @@
 inline flatbuffers::Offset<LoanSettlement> CreateLoanSettlement(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t loan = 0,
-    int64_t used = 0) {
+    int64_t used = 0,
+    uint64_t number = 0) {
   LoanSettlementBuilder builder_(_fbb);
+  builder_.add_number(number);
   builder_.add_used(used);
   builder_.add_loan(loan);
   return builder_.Finish();
--- a/src/peer_link.cc
+++ b/src/peer_link.cc
@@ -373,16 +373,18 @@
     on_reply(&message);
   }
 
-  std::function<void(const BodyPacker&)> MakeReplyFunction(std::uint64_t id) {
+  PeerReply MakeReplyFunction(std::uint64_t id) {
     const auto replied = std::make_shared<bool>(id == 0);
     return [self = weak_from_this(), id, replied](const BodyPacker& body) {
       const auto it = self.lock();
       if (!it || it->phase != Phase::kReady || std::exchange(*replied, true)) {
-        return;
+        return false;
       }
       if (!it->SendMessage(id, body)) {
         it->SendMessage(id, PackReplyTooLong());
+        return false;
       }
+      return it->phase == Phase::kReady;
     };
   }
 
--- a/src/peer_link.h
+++ b/src/peer_link.h
@@ -47,6 +47,10 @@
                       const PeerHello& connector,
                       const PeerHello& acceptor);
 
+// Sends the reply to a message. Returns false if it cannot be sent, because the
+// message has no request id, has its reply already, or the link is closed.
+using PeerReply = std::function<bool(const BodyPacker&)>;
+
 struct PeerLinkOptions {
   std::string secret;
   Incarnation own;
@@ -66,10 +70,8 @@
   // destroys the link.
   std::function<void(const std::string& reason)> on_closed;
   // A message that is not a reply. `reply` may be called once, also after the
-  // hook returns. It does nothing if the message has no request id or the link
-  // is closed.
-  std::function<void(const wire::Envelope& message,
-                     std::function<void(const BodyPacker&)> reply)>
+  // hook returns.
+  std::function<void(const wire::Envelope& message, PeerReply reply)>
       on_message;
 };
 
--- a/src/peer_network.cc
+++ b/src/peer_network.cc
@@ -161,7 +161,7 @@
 }
 
 // Returns a callback that sends the replies once the commands are durable.
-LedgerCallback ReplyWithResult(std::function<void(const BodyPacker&)> reply) {
+LedgerCallback ReplyWithResult(PeerReply reply) {
   return [reply = std::move(reply)](LedgerStatus status,
                                     const std::vector<ShardReply>& replies) {
     if (status == LedgerStatus::kDurable) {
@@ -246,8 +246,7 @@
         .on_closed = [this,
                       id](const std::string& reason) { OnClosed(id, reason); },
         .on_message =
-            [this, id](const wire::Envelope& message,
-                       const std::function<void(const BodyPacker&)>& reply) {
+            [this, id](const wire::Envelope& message, const PeerReply& reply) {
               OnMessage(id, message, reply);
             },
     };
@@ -310,7 +309,7 @@
 
   void OnMessage(ConnectionId id,
                  const wire::Envelope& message,
-                 const std::function<void(const BodyPacker&)>& reply) {
+                 const PeerReply& reply) {
     switch (message.body_type()) {
       case wire::Body::Heartbeat:
         OnHeartbeat(connections.at(id), *message.body_as_Heartbeat());
@@ -346,8 +345,7 @@
     }
   }
 
-  void OnShardRequest(const wire::ShardRequest& table,
-                      const std::function<void(const BodyPacker&)>& reply) {
+  void OnShardRequest(const wire::ShardRequest& table, const PeerReply& reply) {
     std::vector<ShardCommand> commands;
     try {
       commands = UnpackCommands(table.commands());
@@ -361,7 +359,7 @@
                 ReplyWithResult(reply));
   }
 
-  void OnConfigRequest(const std::function<void(const BodyPacker&)>& reply) {
+  void OnConfigRequest(const PeerReply& reply) {
     const auto document =
         hooks.encoded_document ? hooks.encoded_document() : std::string();
     if (document.empty()) {
--- a/src/peer_network.h
+++ b/src/peer_network.h
@@ -64,7 +64,7 @@
   // A message that the network does not handle itself.
   std::function<void(const std::string& host,
                      const wire::Envelope& message,
-                     std::function<void(const BodyPacker&)> reply)>
+                     PeerReply reply)>
       on_message;
   // An outgoing connection was refused, broken or timed out.
   std::function<void(const std::string& host)> on_unreachable;
--- a/tests/correctness/token_loans_test.cc
+++ b/tests/correctness/token_loans_test.cc
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "app/token_lender.h"
 #include "tests/peer_host.h"
 #include "tests/run_until.h"
 
@@ -9,17 +10,43 @@
 namespace {
 
 constexpr TokenLoansOptions kOptions{.peer_timeout = Millis{300},
-                                     .loan_timeout = Millis{400}};
+                                     .settlement_retry_delay = Millis{20}};
+constexpr TokenLenderOptions kLenderOptions{.loan_timeout = Millis{400}};
 
 // A host with a grant from one budget.
 struct Host : PeerHost {
-  Host(std::string own, PeerAddresses* table, Tokens tokens)
+  Host(std::string own,
+       PeerAddresses* table,
+       Tokens tokens,
+       const TokenLoansOptions& options = kOptions)
       : PeerHost(std::move(own), table), free(tokens) {
+    StartLender();
     loans = std::make_unique<TokenLoans>(
-        kOptions, loop, network.get(),
+        options, loop,
         TokenLoansHooks{
             .peers = [this] { return Others(); },
             .random = [] { return 0.5; },
+            .request =
+                [this](const std::string& host, const BodyPacker& body,
+                       Millis timeout, auto on_reply) {
+                  network->Request(host, body, timeout, std::move(on_reply));
+                }});
+    on_message = [this](const std::string& from, const wire::Envelope& message,
+                        const PeerReply& reply) {
+      if (!is_responsive ||
+          (drops_settlements &&
+           message.body_type() == wire::Body::LoanSettlement)) {
+        return;
+      }
+      lender->OnMessage(from, message, reply);
+    };
+  }
+
+  // Also replaces the lender, like a restart of its process.
+  void StartLender() {
+    lender = std::make_unique<TokenLender>(
+        kLenderOptions, loop,
+        TokenLenderHooks{
             .reserve =
                 [this](const std::string&, Tokens amount, double) {
                   const bool is_covered = amount <= free;
@@ -27,12 +54,6 @@
                   reserved += is_covered ? amount : 0;
                   return is_covered;
                 },
-            .settle =
-                [this](const std::string&, Tokens amount, Tokens spent) {
-                  reserved -= amount;
-                  free += amount - spent;
-                  used += spent;
-                },
             .reserve_waiting =
                 [this](const std::string&, Tokens amount, Millis,
                        const auto& callback) {
@@ -46,13 +67,14 @@
                     callback(is_covered ? ReserveStatus::kReserved
                                         : ReserveStatus::kInsufficient);
                   });
-                }});
-    on_message = [this](const std::string& from, const wire::Envelope& message,
-                        const auto& reply) {
-      if (is_responsive) {
-        loans->OnMessage(from, message, reply);
-      }
-    };
+                },
+            .settle =
+                [this](const std::string&, Tokens amount, Tokens spent) {
+                  reserved -= amount;
+                  free += amount - spent;
+                  used += spent;
+                },
+            .unread_time = [this] { return unread; }});
   }
 
   std::optional<Loan> Borrow(Tokens amount) const {
@@ -78,7 +100,10 @@
   // Sum of all amounts that were reserved after a wait for the ledger.
   Tokens lent = 0;
   Tokens used = 0;
+  Millis unread{0};
   bool is_responsive = true;
+  bool drops_settlements = false;
+  std::unique_ptr<TokenLender> lender;
   std::unique_ptr<TokenLoans> loans;
 };
 
@@ -204,4 +229,105 @@
   CHECK(it.b.free == 100);
 }
 
+// Guards against tokens that stay charged because the reply finds no borrower
+// (review/4): the home was frozen, and the borrower has closed its connection.
+TEST_CASE("a loan whose reply cannot be sent is free again") {
+  PeerAddresses addresses;
+  TokenLoansOptions options = kOptions;
+  options.home_timeout = Millis{50};
+  options.late_reply_timeout = Millis{100};
+  Host a("a", &addresses, 0, options);
+  Host b("b", &addresses, 100);
+  b.ledger_delay = Millis{250};
+  b.drops_settlements = true;
+  CHECK_FALSE(a.BorrowFromHome({"b"}, 60).loan);
+  REQUIRE(RunUntil([&] { return b.lent == 60; }));
+  RunFor(kLenderOptions.loan_timeout + Millis{100});
+  CHECK(b.reserved == 0);
+  CHECK(b.used == 0);
+  CHECK(b.free == 100);
+}
+
+// Guards against tokens that stay charged because a peer replied after the
+// borrower had asked the next one.
+TEST_CASE("a loan that was given up is free again") {
+  PeerAddresses addresses;
+  TokenLoansOptions options = kOptions;
+  options.peer_timeout = Millis{0};
+  Host a("a", &addresses, 0, options);
+  Host b("b", &addresses, 100);
+  CHECK_FALSE(a.Borrow(60));
+  RunFor(kLenderOptions.loan_timeout + Millis{200});
+  CHECK(b.reserved == 0);
+  CHECK(b.used == 0);
+  CHECK(b.free == 100);
+}
+
+// Guards against tokens that stay charged because a settlement was lost.
+TEST_CASE("a settlement is repeated until the lender confirms it") {
+  PeerAddresses addresses;
+  TokenLoansOptions options = kOptions;
+  options.late_reply_timeout = Millis{100};
+  Host a("a", &addresses, 0, options);
+  Host b("b", &addresses, 100);
+  const auto loan = a.Borrow(60);
+  REQUIRE(loan);
+  b.drops_settlements = true;
+  a.loans->Repay(*loan, 45);
+  RunFor(Millis{50});
+  b.drops_settlements = false;
+  REQUIRE(RunUntil([&] { return b.used > 0; }));
+  CHECK(b.used == 45);
+  CHECK(b.reserved == 0);
+}
+
+// Guards against reservations for borrowers that have gone on while this host
+// was frozen: they would refuse the requests of others.
+TEST_CASE("a lender lends nothing for a request that was unread too long") {
+  Fixture it;
+  it.b.unread = TokenLoansOptions{}.home_timeout;
+  CHECK_FALSE(it.a.BorrowFromHome({"b"}, 60).loan);
+  CHECK(it.b.lent == 0);
+  it.b.unread -= Millis{1};
+  CHECK(it.a.BorrowFromHome({"b"}, 60).loan);
+}
+
+// Guards against loans without a borrower: the word that a loan was given up
+// may arrive on a new connection, before the request on the old one.
+TEST_CASE("a request that arrives after its loan was given up gets nothing") {
+  const bool is_waiting = GENERATE(true, false);
+  Fixture it;
+  const auto deliver = [&](const BodyPacker& pack) {
+    flatbuffers::FlatBufferBuilder builder;
+    const auto [type, body] = pack(builder);
+    builder.Finish(wire::CreateEnvelope(builder, 1, type, body));
+    it.b.lender->OnMessage(
+        "a", *flatbuffers::GetRoot<wire::Envelope>(builder.GetBufferPointer()),
+        [](const BodyPacker&) { return true; });
+  };
+  constexpr std::uint64_t kNumber = 7;
+  const auto request = [](flatbuffers::FlatBufferBuilder& builder) {
+    return PackedBody{
+        wire::Body::LoanRequest,
+        wire::CreateLoanRequestDirect(builder, "budget", 60, 250, kNumber, 350)
+            .Union()};
+  };
+  const auto give_up = [](flatbuffers::FlatBufferBuilder& builder) {
+    return PackedBody{
+        wire::Body::LoanSettlement,
+        wire::CreateLoanSettlement(builder, 0, 0, kNumber).Union()};
+  };
+  if (is_waiting) {
+    deliver(request);
+    deliver(give_up);
+  } else {
+    deliver(give_up);
+    deliver(request);
+  }
+  RunFor(Millis{100});
+  CHECK(it.b.reserved == 0);
+  CHECK(it.b.used == 0);
+  CHECK(it.b.free == 100);
+}
+
 }  // namespace crocuslatch
--- a/tests/peer_host.h
+++ b/tests/peer_host.h
@@ -20,10 +20,9 @@
 using PeerAddresses = std::map<std::string, std::string>;
 
 struct PeerHost {
-  using OnMessage =
-      std::function<void(const std::string& from,
-                         const wire::Envelope& message,
-                         const std::function<void(const BodyPacker&)>& reply)>;
+  using OnMessage = std::function<void(const std::string& from,
+                                       const wire::Envelope& message,
+                                       const PeerReply& reply)>;
 
   PeerHost(std::string own, PeerAddresses* table)
       : name(std::move(own)), addresses(table) {
