--- a/app/front.cc
+++ b/app/front.cc
@@ -639,11 +639,11 @@
     hooks.address_of = [this](const std::string& host) {
       return hosts->PeerAddress(host);
     };
-    hooks.on_message = [this](const std::string& host,
+    hooks.on_message = [this](const HolderId& sender,
                               const wire::Envelope& message,
                               const auto& reply) {
-      if (!load_broadcast->OnMessage(host, message) &&
-          !token_lender->OnMessage(host, message, reply)) {
+      if (!load_broadcast->OnMessage(sender.host, message) &&
+          !token_lender->OnMessage(sender, message, reply)) {
         relayed_store.OnMessage(message, reply);
       }
     };
--- a/app/token_lender.cc
+++ b/app/token_lender.cc
@@ -23,9 +23,10 @@
 }
 
 // The borrower chooses the number, so that it can name a loan whose reply it
-// has not seen.
+// has not seen. A process uses each number once, whichever lender it asks, so
+// that a settlement means no other loan after a restart of either side.
 struct LoanName {
-  std::string borrower;
+  HolderId borrower;
   std::uint64_t number = 0;
   auto operator<=>(const LoanName&) const = default;
 };
@@ -46,7 +47,7 @@
   // reservation waits for the ledger.
   std::set<LoanName> given_up_loans;
 
-  void OnRequest(const std::string& borrower,
+  void OnRequest(const HolderId& borrower,
                  const wire::LoanRequest& request,
                  const PeerReply& reply) {
     const LoanName name{borrower, request.number()};
@@ -57,7 +58,8 @@
     if (name.number == 0 || amount <= 0 || is_late ||
         given_up_loans.contains(name)) {
       LogLine(LogEvent::kLoanRefused)
-          .Add("host", borrower)
+          .Add("host", borrower.host)
+          .Add("borrower", ToString(borrower))
           .Add("budget", budget)
           .Add("tokens", amount)
           .Add("loan", name.number)
@@ -107,7 +109,8 @@
             const PeerReply& reply) {
     lent_loans.emplace(name, loan);
     LogLine(LogEvent::kTokensLent)
-        .Add("host", name.borrower)
+        .Add("host", name.borrower.host)
+        .Add("borrower", ToString(name.borrower))
         .Add("budget", loan.budget)
         .Add("tokens", loan.amount)
         .Add("loan", name.number);
@@ -124,7 +127,7 @@
         [name](Core& it) { it.End(name, std::nullopt, "timeout"); });
   }
 
-  void OnSettlement(const std::string& borrower,
+  void OnSettlement(const HolderId& borrower,
                     const wire::LoanSettlement& settlement,
                     const PeerReply& reply) {
     const LoanName name{borrower, settlement.number()};
@@ -153,7 +156,8 @@
     const auto spent =
         std::clamp<Tokens>(used.value_or(loan.amount), 0, loan.amount);
     LogLine(LogEvent::kLoanEnded)
-        .Add("host", name.borrower)
+        .Add("host", name.borrower.host)
+        .Add("borrower", ToString(name.borrower))
         .Add("budget", loan.budget)
         .Add("tokens", loan.amount)
         .Add("loan", name.number)
@@ -183,7 +187,7 @@
 
 TokenLender::~TokenLender() = default;
 
-bool TokenLender::OnMessage(const std::string& borrower,
+bool TokenLender::OnMessage(const HolderId& borrower,
                             const wire::Envelope& message,
                             const PeerReply& reply) {
   if (const auto* request = message.body_as_LoanRequest()) {
--- a/app/token_lender.h
+++ b/app/token_lender.h
@@ -61,7 +61,7 @@
   ~TokenLender();
 
   // Handles a borrower's message. Returns false if it is not about loans.
-  bool OnMessage(const std::string& borrower,
+  bool OnMessage(const HolderId& borrower,
                  const wire::Envelope& message,
                  const PeerReply& reply);
 
--- a/src/peer_network.cc
+++ b/src/peer_network.cc
@@ -327,7 +327,7 @@
         break;
       default:
         if (hooks.on_message) {
-          hooks.on_message(connections.at(id).peer.holder.host, message, reply);
+          hooks.on_message(connections.at(id).peer.holder, message, reply);
         }
         break;
     }
--- a/src/peer_network.h
+++ b/src/peer_network.h
@@ -61,8 +61,9 @@
   // Address of a peer's listener; empty if unknown.
   std::function<std::string(const std::string& host)> address_of;
   std::function<std::vector<std::string>()> heartbeat_peers;
-  // A message that the network does not handle itself.
-  std::function<void(const std::string& host,
+  // A message that the network does not handle itself, and the process that
+  // sent it.
+  std::function<void(const HolderId& sender,
                      const wire::Envelope& message,
                      PeerReply reply)>
       on_message;
--- a/tests/correctness/load_broadcast_test.cc
+++ b/tests/correctness/load_broadcast_test.cc
@@ -20,9 +20,9 @@
     sharing = std::make_unique<LoadBroadcast>(
         LoadBroadcastOptions{.resend_period = Millis{200}}, loop, network.get(),
         &placement, LoadBroadcastHooks{name, [this] { return Others(); }});
-    on_message = [this](const std::string& from, const wire::Envelope& message,
+    on_message = [this](const HolderId& from, const wire::Envelope& message,
                         const auto&) {
-      CHECK(sharing->OnMessage(from, message));
+      CHECK(sharing->OnMessage(from.host, message));
     };
     placement.OnLoadChange([this] { sharing->OnChange(); });
   }
--- a/tests/correctness/relayed_store_test.cc
+++ b/tests/correctness/relayed_store_test.cc
@@ -32,7 +32,7 @@
                           .random = [] { return 0.5; },
                           .on_store_response = [this] { ++store_responses; }});
     relayed->SetNetwork(network.get());
-    on_message = [this](const std::string&, const wire::Envelope& message,
+    on_message = [this](const HolderId&, const wire::Envelope& message,
                         const auto& reply) {
       if (!is_silent) {
         relayed->OnMessage(message, reply);
--- a/tests/correctness/token_loans_test.cc
+++ b/tests/correctness/token_loans_test.cc
@@ -18,8 +18,9 @@
   Host(std::string own,
        PeerAddresses* table,
        Tokens tokens,
-       const TokenLoansOptions& options = kOptions)
-      : PeerHost(std::move(own), table), free(tokens) {
+       const TokenLoansOptions& options = kOptions,
+       std::uint64_t incarnation = 1)
+      : PeerHost(std::move(own), table, incarnation), free(tokens) {
     StartLender();
     loans = std::make_unique<TokenLoans>(
         options, loop,
@@ -31,7 +32,7 @@
                        Millis timeout, auto on_reply) {
                   network->Request(host, body, timeout, std::move(on_reply));
                 }});
-    on_message = [this](const std::string& from, const wire::Envelope& message,
+    on_message = [this](const HolderId& from, const wire::Envelope& message,
                         const PeerReply& reply) {
       if (!is_responsive ||
           (drops_settlements &&
@@ -302,7 +303,8 @@
     const auto [type, body] = pack(builder);
     builder.Finish(wire::CreateEnvelope(builder, 1, type, body));
     it.b.lender->OnMessage(
-        "a", *flatbuffers::GetRoot<wire::Envelope>(builder.GetBufferPointer()),
+        {"a", 1},
+        *flatbuffers::GetRoot<wire::Envelope>(builder.GetBufferPointer()),
         [](const BodyPacker&) { return true; });
   };
   constexpr std::uint64_t kNumber = 7;
@@ -330,4 +332,38 @@
   CHECK(it.b.free == 100);
 }
 
+// Guards against the settlement of a loan of the lender's previous process that
+// ends a loan of the new one (review/1): tokens in use were granted again.
+TEST_CASE("a settlement after a restart of the lender ends no other loan") {
+  Fixture it;
+  const auto old_loan = it.a.Borrow(10);
+  REQUIRE(old_loan);
+  it.b.StartLender();
+  const auto loan = it.a.Borrow(60);
+  REQUIRE(loan);
+  it.a.loans->Repay(*old_loan, 5);
+  RunFor(Millis{50});
+  CHECK(it.b.reserved == 70);
+  it.a.loans->Repay(*loan, 60);
+  REQUIRE(RunUntil([&] { return it.b.used > 0; }, Millis{200}));
+  CHECK(it.b.used == 60);
+}
+
+// Guards against the same after a restart of the borrower, whose new process
+// numbers its loans from the beginning.
+TEST_CASE("a settlement after a restart of the borrower ends no other loan") {
+  PeerAddresses addresses;
+  Host b("b", &addresses, 100);
+  auto a = std::make_unique<Host>("a", &addresses, 0);
+  REQUIRE(a->Borrow(60));
+  a = std::make_unique<Host>("a", &addresses, 0, kOptions, 2);
+  const auto loan = a->Borrow(20);
+  REQUIRE(loan);
+  CHECK(b.reserved == 80);
+  a->loans->Repay(*loan, 5);
+  REQUIRE(RunUntil([&] { return b.used > 0; }, Millis{200}));
+  CHECK(b.used == 5);
+  CHECK(b.reserved == 60);
+}
+
 }  // namespace crocuslatch
--- a/tests/peer_host.h
+++ b/tests/peer_host.h
@@ -20,11 +20,11 @@
 using PeerAddresses = std::map<std::string, std::string>;
 
 struct PeerHost {
-  using OnMessage = std::function<void(const std::string& from,
+  using OnMessage = std::function<void(const HolderId& from,
                                        const wire::Envelope& message,
                                        const PeerReply& reply)>;
 
-  PeerHost(std::string own, PeerAddresses* table)
+  PeerHost(std::string own, PeerAddresses* table, std::uint64_t incarnation = 1)
       : name(std::move(own)), addresses(table) {
     PeerNetworkHooks hooks;
     hooks.address_of = [this](const std::string& it) {
@@ -32,11 +32,11 @@
       return found == addresses->end() ? "" : found->second;
     };
     hooks.on_message =
-        [this](const std::string& from, const wire::Envelope& message,
+        [this](const HolderId& from, const wire::Envelope& message,
                const auto& reply) { on_message(from, message, reply); };
     network = std::make_unique<PeerNetwork>(
         PeerNetworkOptions{.secret = "a secret",
-                           .own = {{name, 1}, 1},
+                           .own = {{name, incarnation}, 1},
                            .connect_timeout = Millis{300}},
         hooks);
     (*addresses)[name] = fmt::format("127.0.0.1:{}", network->port());
