Take a registry entry whose id is no header value as malformed

Nesting of 5,000 levels, numbers out of range and ports out of range were refused already; 'a malformed or foreign registry entry is ignored' shows it. Cause of what was accepted: the id is sent as the value of a header and was not checked, so that an id with CR LF would add header lines.

--- a/tests/correctness/desired_state_test.cc
+++ b/tests/correctness/desired_state_test.cc
@@ -134,6 +134,10 @@
   CHECK_FALSE(platform::DecodeBackendEntry(
       "servers/i-1", Replaced(std::string(kEntry), from, to)));
   CHECK_FALSE(platform::DecodeBackendEntry("servers/", kEntry));
+  // The id is sent as a header's value.
+  CHECK_FALSE(platform::DecodeBackendEntry("servers/i-1\r\nX: y", kEntry));
+  CHECK_FALSE(platform::DecodeBackendEntry("servers/i 1", kEntry));
+  CHECK_FALSE(platform::DecodeBackendEntry("servers/i-\x80", kEntry));
   CHECK_FALSE(platform::DecodeBackendEntry("other/i-1", kEntry));
 }
 
