Pass on no answer of an earlier request, and no promise that no server made

Report of other operators: a faulty server writes an earlier refusal once more on a kept connection. Shown: with its seal and without an id, the caller of an order got that 503 while the server ran the order (REFUSED).

Cause: such a response was not taken for 'not executed', but its seal was trusted, and a sealed error is passed on as it is.

Change: a response without an id on a reused connection counts as unsealed; 408, 421, 429 and 503 are passed on only if the server says that it did not execute the request.

Tests: 'an earlier refusal on a kept connection is no answer to an order' and 'a status that promises nothing was run needs the server's word' failed before.

Also a lint exception in app/token_lender.cc, as elsewhere for defaulted comparisons.

--- a/app/forwarding.cc
+++ b/app/forwarding.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <array>
 #include <optional>
 #include <set>
 #include <utility>
@@ -52,6 +53,12 @@
   return status >= 200 && status < 300;
 }
 
+// True if the status tells the caller that the request was not run.
+bool IsPromise(int status) {
+  constexpr std::array kPromises{408, 421, 429, 503};
+  return std::ranges::find(kPromises, status) != kPromises.end();
+}
+
 // An error response by the router itself.
 struct Failure {
   int status = kUnavailable;
@@ -412,11 +419,13 @@
     const Millis now = context_->loop.now();
     const auto response = platform::DecodeServerResponse(status, headers);
     status_ = status;
-    is_sealed_ = response.has_seal;
     // On a reused connection, a response without an id may be a late second one
-    // to an earlier request and says nothing about this one.
-    not_executed_ = response.not_executed && (!response.request_id.empty() ||
-                                              call_.is_on_new_connection());
+    // to an earlier request. It says nothing about this one and must not be
+    // passed on.
+    const bool is_own =
+        !response.request_id.empty() || call_.is_on_new_connection();
+    is_sealed_ = response.has_seal && is_own;
+    not_executed_ = response.not_executed && is_own;
     has_response_begun_ = has_response_begun_ || IsSuccess(status);
     if (response.load) {
       context_->placement->OnLoadReport(server_id_, response.load->running,
@@ -571,8 +580,10 @@
       RetryAfterConnectFailure();
       return;
     }
+    // A status that promises that the request was not run is passed on by
+    // nobody but a server that says so.
     const bool is_sealed_error =
-        is_complete && !IsSuccess(status_) && is_sealed_;
+        is_complete && !IsSuccess(status_) && is_sealed_ && !IsPromise(status_);
     EndDispatch(is_sealed_error && status_ < kFirstServerError
                     ? DispatchResult::kNeutral
                     : DispatchResult::kFailed,
--- a/app/token_lender.cc
+++ b/app/token_lender.cc
@@ -28,6 +28,8 @@
 struct LoanName {
   HolderId borrower;
   std::uint64_t number = 0;
+  // clang-tidy 14 mistakes the zero in a defaulted comparison for a pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const LoanName&) const = default;
 };
 
--- a/tests/error/server_trouble_test.cc
+++ b/tests/error/server_trouble_test.cc
@@ -152,6 +152,136 @@
   CHECK(second.body.find("outcome_unknown") != std::string::npos);
 }
 
+// Guards against "not run" for an order that a server runs: a faulty server
+// writes an earlier refusal once more on a kept connection, whole with its
+// seal.
+TEST_CASE("an earlier refusal on a kept connection is no answer to an order") {
+  const auto [id, head, status] = GENERATE(table<std::string, std::string, int>(
+      {{"", "503 Busy", 502},
+       {"", "429 Busy", 502},
+       {"", "421 Misdirected", 502},
+       {"", "404 Not Found", 502},
+       // An answer to another request is skipped, and the order's own follows.
+       {"r0", "503 Busy", 200},
+       {"r0", "404 Not Found", 200}}));
+  const bool is_resent_late = GENERATE(false, true);
+  const std::string refusal = fmt::format(
+      "HTTP/1.1 {}\r\n{}Crocuslatch-Not-Executed: 1\r\n"
+      "Crocuslatch-Replica-Seal: s\r\nRetry-After: 1\r\n"
+      "Content-Length: 0\r\n\r\n",
+      head, id.empty() ? "" : "Crocuslatch-Request-Id: " + id + "\r\n");
+  int requests = 0;
+  RawFixture it([&](QTcpSocket& socket, const QByteArray& all) {
+    if (all.count("\r\n\r\n") <= requests) {
+      return;
+    }
+    const auto write = [&socket](const std::string& bytes) {
+      socket.write(bytes.data(), static_cast<qint64>(bytes.size()));
+    };
+    if (++requests == 1) {
+      write(kAnswerHead + "Content-Length: 3\r\n\r\none");
+      return;
+    }
+    QTimer::singleShot(is_resent_late ? 30 : 0, &socket, [write, refusal] {
+      write(refusal +
+            "HTTP/1.1 200 OK\r\nCrocuslatch-Request-Id: r2\r\n"
+            "Crocuslatch-Replica-Seal: s\r\n"
+            "Content-Length: 3\r\n\r\ntwo");
+    });
+  });
+  CHECK(it.SendAndWait(it.Request("GET", "/order/1")).status == 200);
+  auto request = it.Request("GET", "/order/2");
+  request.headers[1].second = "r2";
+  const auto second = it.SendAndWait(request);
+  REQUIRE(requests == 2);
+  CHECK(second.status == status);
+  CHECK(second.body.find("not_run") == std::string::npos);
+  if (status == 502) {
+    CHECK(second.body.find("outcome_unknown") != std::string::npos);
+    CHECK(FindHeader(second.headers, "Crocuslatch-Replica-Seal").empty());
+    CHECK(FindHeader(second.headers, "Retry-After").empty());
+  } else {
+    CHECK(second.body == "two");
+  }
+}
+
+// Guards against "not run" in the router's name on the word of a status alone:
+// only a server that says that it did not execute an order makes that true.
+TEST_CASE("a status that promises nothing was run needs the server's word") {
+  const int status = GENERATE(408, 421, 429, 503);
+  const bool is_said = GENERATE(true, false);
+  ForwardingFixture it;
+  it.respond = [&](const IncomingRequest&, HttpReply reply) {
+    auto headers = ForwardingFixture::Sealed();
+    if (is_said) {
+      headers.emplace_back("Crocuslatch-Not-Executed", "1");
+    }
+    reply.SendResponse(status, headers, "");
+  };
+  const auto answer = it.SendAndWait(it.Request("POST", "/order/1"));
+  // The status 421 says so itself.
+  const bool is_promise = is_said || status == 421;
+  CHECK(answer.status == (is_promise ? 503 : 502));
+  CHECK(it.received.size() == (is_promise ? 2U : 1U));
+}
+
+// Guards against an error's text in the middle of a stream, and against a
+// stream that ends as complete because the next server failed.
+TEST_CASE("an error of the next server never becomes part of a stream") {
+  struct Next {
+    int status = 0;
+    HttpHeaders headers;
+    std::string body;
+  };
+  const auto sealed = ForwardingFixture::Sealed();
+  const HttpHeaders own_id{{"Crocuslatch-Request-Id", "r1"}};
+  const HttpHeaders refused{{"Crocuslatch-Request-Id", "r1"},
+                            {"Crocuslatch-Not-Executed", "1"}};
+  const HttpHeaders foreign{{"Crocuslatch-Request-Id", "r0"},
+                            {"Crocuslatch-Replica-Seal", "s"}};
+  const auto next = GENERATE_COPY(
+      Next{500, sealed, "error text"}, Next{404, sealed, "error text"},
+      Next{503, sealed, "error text"}, Next{503, refused, "error text"},
+      Next{500, own_id, "error text"}, Next{500, {}, "error text"},
+      Next{200, own_id, "id: 2\ndata: b\n\n"},
+      Next{200, sealed, "id: 2\ndata: b"}, Next{200, sealed, "error text"},
+      Next{200, foreign, "id: 2\ndata: b\n\n"});
+  const bool is_chunked = GENERATE(true, false);
+  ForwardingFixture it;
+  auto state = it.table->state();
+  state.routes[2].is_resumable = true;
+  it.table = std::make_shared<RoutingTable>(state);
+  const std::string first = "id: 1\ndata: a\n\n";
+  it.respond = [&](const IncomingRequest&, HttpReply reply) {
+    if (it.received.size() == 1) {
+      reply.StartStream(200, sealed);
+      reply.Write(first + "id: 2\nda");
+      QTimer::singleShot(20, [reply]() mutable { reply.Abort(); });
+    } else if (is_chunked) {
+      reply.StartStream(next.status, next.headers);
+      reply.Write(next.body);
+      reply.EndStream();
+    } else {
+      reply.SendResponse(next.status, next.headers, next.body);
+    }
+  };
+  std::optional<HttpResult> end;
+  int status = 0;
+  std::string received;
+  auto request = it.Request("POST", "/stream/1");
+  request.headers.push_back({"Crocuslatch-Request-Deadline", "600"});
+  it.caller.Send(
+      request,
+      {.on_headers = [&](int head, const HttpHeaders&) { status = head; },
+       .on_data = [&](std::string_view bytes) { received += bytes; },
+       .on_end = [&](HttpResult result) { end = result; }});
+  REQUIRE(RunUntil([&] { return end.has_value(); }));
+  CHECK(it.received.size() == 2);
+  CHECK(status == 200);
+  CHECK(received == first);
+  CHECK(end == HttpResult::kBroken);
+}
+
 TEST_CASE("an answer that breaks off halfway is never a complete success") {
   const auto [bytes, is_reset] = GENERATE(table<std::string, bool>(
       {{"Content-Length: 100\r\n\r\nhalf", false},
