--- a/tests/fuzz/token_loans_soak_test.cc
+++ b/tests/fuzz/token_loans_soak_test.cc
@@ -194,7 +194,7 @@
                 std::uint64_t request_id,
                 const BodyPacker& pack,
                 const ProcessPtr& receiver,
-                std::function<void(const wire::Envelope&)> deliver) {
+                const std::function<void(const wire::Envelope&)>& deliver) {
     flatbuffers::FlatBufferBuilder builder;
     const auto [type, body] = pack(builder);
     builder.Finish(wire::CreateEnvelope(builder, request_id, type, body));
--- a/tests/process/front_soak_test.cc
+++ b/tests/process/front_soak_test.cc
@@ -289,10 +289,14 @@
   void Supervise() {
     for (auto& it : hosts_) {
       const bool is_running = it.process->IsRunning();
-      if (is_running && it.is_stopping && !it.is_frozen &&
+      std::ofstream(LogFolder() + "/" + it.name + ".log", std::ios::app)
+          << it.process->TakeOutput();
+      if (is_running && it.is_stopping && !it.is_frozen && !it.is_killed &&
           loop_.now() - it.stop_began_at > kGrace) {
         if (loop_.now() - it.disturbed_at > kGrace) {
-          faults.push_back(it.name + " has not ended within the grace period");
+          faults.push_back(
+              fmt::format("{} has not ended within the grace period; signals{}",
+                          it.name, it.signals));
         }
         Signal(it, SIGKILL);
         it.is_killed = true;
--- a/tests/process/process.cc
+++ b/tests/process/process.cc
@@ -99,6 +99,10 @@
   }
 }
 
+std::string Process::TakeOutput() {
+  return process_.readAllStandardOutput().toStdString();
+}
+
 bool Process::IsRunning() const {
   return process_.state() == QProcess::Running;
 }
--- a/tests/process/process.h
+++ b/tests/process/process.h
@@ -45,6 +45,9 @@
   // Waits for that line. Throws std::runtime_error if it does not appear.
   void WaitListening();
   void Signal(int number) const;
+  // Returns what the process has written to its standard output since the last
+  // call.
+  std::string TakeOutput();
   bool IsRunning() const;
   // Waits for the process to end. Returns its exit status, or -1 if it was
   // killed or is still running.
