Give the decisions on load a folder of their own

Cause: admission, fair shares and learned server speed join the placement of requests, and core/ held them beside the ledger's and the registry's rules. Change: core/load/ holds placement and loop_lag; a comment that told how a constant was chosen is removed. No behaviour changes.

--- a/app/forwarding.h
+++ b/app/forwarding.h
@@ -9,7 +9,7 @@
 #include "app/prompt_quarantine.h"
 #include "app/token_loans.h"
 #include "core/desired_state.h"
-#include "core/placement.h"
+#include "core/load/placement.h"
 #include "core/retry_budget.h"
 #include "io/http_client.h"
 #include "io/http_server.h"
--- a/app/front.cc
+++ b/app/front.cc
@@ -22,7 +22,7 @@
 #include "app/write_batching.h"
 #include "core/budget_homes.h"
 #include "core/ledger_writers.h"
-#include "core/loop_lag.h"
+#include "core/load/loop_lag.h"
 #include "core/planned_stop.h"
 #include "core/registry_timing.h"
 #include "core/rotation.h"
--- a/app/load_broadcast.h
+++ b/app/load_broadcast.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "core/placement.h"
+#include "core/load/placement.h"
 #include "src/event_loop.h"
 #include "src/peer_network.h"
 
--- a/core/loop_lag.h
+++ b/core/load/loop_lag.h
@@ -1,5 +1,5 @@
-#ifndef CORE_LOOP_LAG_H_
-#define CORE_LOOP_LAG_H_
+#ifndef CORE_LOAD_LOOP_LAG_H_
+#define CORE_LOAD_LOOP_LAG_H_
 
 #include "core/exclusion.h"
 #include "src/types.h"
@@ -62,4 +62,4 @@
 
 }  // namespace crocuslatch
 
-#endif  // CORE_LOOP_LAG_H_
+#endif  // CORE_LOAD_LOOP_LAG_H_
--- a/core/placement.h
+++ b/core/load/placement.h
@@ -1,5 +1,5 @@
-#ifndef CORE_PLACEMENT_H_
-#define CORE_PLACEMENT_H_
+#ifndef CORE_LOAD_PLACEMENT_H_
+#define CORE_LOAD_PLACEMENT_H_
 
 #include <cstdint>
 #include <deque>
@@ -36,8 +36,6 @@
   // Cost of processing shared prompt parts that another server has cached, as
   // a multiple of the processing time. It exceeds 1 because the work also
   // delays the server's other requests and evicts other parts from its cache.
-  // For the two users, a factor of 1 gave a mean worth of 0.584 and 0.667; 2
-  // gave 0.619 and 0.689; 3.5 gave 0.632 and 0.700; 6 gave 0.631 and 0.704.
   double recompute_factor = 5;
   // Delay of a request's first token caused by each running request on the
   // engine: every step takes 0.12 ms longer per occupied slot.
@@ -224,4 +222,4 @@
 
 }  // namespace crocuslatch
 
-#endif  // CORE_PLACEMENT_H_
+#endif  // CORE_LOAD_PLACEMENT_H_
--- a/tests/correctness/loop_lag_test.cc
+++ b/tests/correctness/loop_lag_test.cc
@@ -1,4 +1,4 @@
-#include "core/loop_lag.h"
+#include "core/load/loop_lag.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/correctness/placement_test.cc
+++ b/tests/correctness/placement_test.cc
@@ -1,4 +1,4 @@
-#include "core/placement.h"
+#include "core/load/placement.h"
 
 #include <catch2/catch.hpp>
 #include <memory>
