Decode cold rates, slowdown and process limits, and prepare shared hooks

Cause: the fourth figure of a server's load header made the whole header unreadable, so that such servers' reports were dropped; the parts of the work on heavy load need the same fields and hooks. Change: the load header has three or four figures; services carry their cold start and rate; settings carry cold_excess, cold_slack, evacuate_ms, memory_mb and max_descriptors; Placement skips evacuated failure domains and asks a hook for each candidate; the HTTP server can refuse a request at its head.

--- a/app/forwarding.cc
+++ b/app/forwarding.cc
@@ -381,8 +381,7 @@
         {.may_send =
              [self = shared_from_this()] {
                return !self->Verdict() &&
-                      !self->context_->placement->IsDrainingOrGone(
-                          self->server_id_);
+                      self->context_->placement->MayStillSend(self->server_id_);
              },
          .accepts_response =
              [id = caller_.request_id](int status, const HttpHeaders& it) {
--- a/app/front_settings.cc
+++ b/app/front_settings.cc
@@ -14,6 +14,10 @@
 constexpr Millis kMaxMillis{600000};
 constexpr double kMaxSeconds = 600;
 constexpr double kMaxRetrySlack = 1e6;
+constexpr double kMaxColdExcess = 100;
+constexpr double kMaxColdSlack = 1e6;
+constexpr double kMaxMemoryMb = 1e6;
+constexpr double kMaxDescriptors = 1e7;
 
 void ReadAddress(TomlReader& reader,
                  std::string_view key,
@@ -59,6 +63,9 @@
   root.ReadTable("limits", Presence::kOptional, [&](const toml::table& it) {
     TomlReader reader(it, "[limits]", problems);
     reader.ReadNumber("link_mbps", settings.link_mbps, 0, kMaxLinkMbps);
+    reader.ReadNumber("memory_mb", settings.memory_mb, 0, kMaxMemoryMb);
+    reader.ReadNumber("max_descriptors", settings.max_descriptors, 0,
+                      kMaxDescriptors);
   });
   root.ReadTable("bounds", Presence::kOptional, [&](const toml::table& it) {
     TomlReader reader(it, "[bounds]", problems);
@@ -69,6 +76,9 @@
     ReadSeconds(reader, "retry_window_s", settings.retry_window);
     reader.ReadNumber("retry_ratio", settings.retry_ratio, 0, 1);
     reader.ReadNumber("retry_slack", settings.retry_slack, 0, kMaxRetrySlack);
+    reader.ReadNumber("cold_excess", settings.cold_excess, 0, kMaxColdExcess);
+    reader.ReadNumber("cold_slack", settings.cold_slack, 0, kMaxColdSlack);
+    reader.ReadMillis("evacuate_ms", settings.evacuate, kMinMillis, kMaxMillis);
   });
   return settings;
 }
--- a/app/front_settings.h
+++ b/app/front_settings.h
@@ -33,8 +33,18 @@
   double retry_ratio = 0.2;
   Millis retry_window{10000};
   double retry_slack = 0;
+  // Requests that a cold backend server may get in any second, from all hosts
+  // together: its tolerated rate * cold_excess + cold_slack.
+  double cold_excess = 1;
+  double cold_slack = 0;
+  // A server of an evacuated failure domain gets no request later than this
+  // after the evacuation was written. 0 if evacuations are not in use.
+  Millis evacuate{0};
   // Bandwidth of this host's link; 0 if unknown.
   double link_mbps = 0;
+  // Memory and file descriptors that this process may use; 0 if unknown.
+  double memory_mb = 0;
+  double max_descriptors = 0;
   bool operator==(const FrontSettings&) const = default;
 };
 
--- a/core/desired_state.h
+++ b/core/desired_state.h
@@ -83,6 +83,10 @@
   // together.
   int max_connections = 0;
   std::optional<EngineSpec> engine;
+  // Time after its start in which a server is cold, and the requests per second
+  // from all routers together that it tolerates meanwhile. 0 means no limit.
+  Millis cold_start{0};
+  double cold_requests_per_s = 0;
   bool operator==(const ServiceSpec&) const = default;
 };
 
--- a/core/load/placement.cc
+++ b/core/load/placement.cc
@@ -141,7 +141,8 @@
   const auto* session = is_model ? SessionPart(*query.work) : nullptr;
   const auto collect = [&](bool allow_avoided) {
     for (const auto& [id, server] : servers_) {
-      if (server.entry.service != query.service || server.entry.is_draining ||
+      if (server.entry.service != query.service || !IsUsable(server) ||
+          (may_place_ && !may_place_(server.entry, query.now)) ||
           (query.tried != nullptr && query.tried->contains(id)) ||
           (!allow_avoided && query.now < server.avoid_until)) {
         continue;
@@ -316,9 +317,14 @@
       now};
 }
 
-bool Placement::IsDrainingOrGone(const std::string& server_id) const {
+bool Placement::IsUsable(const Server& server) const {
+  return !server.entry.is_draining &&
+         !evacuated_domains_.contains(server.entry.failure_domain);
+}
+
+bool Placement::MayStillSend(const std::string& server_id) const {
   const auto it = servers_.find(server_id);
-  return it == servers_.end() || it->second.entry.is_draining;
+  return it != servers_.end() && IsUsable(it->second);
 }
 
 std::vector<ServerView> Placement::View(Millis now) const {
--- a/core/load/placement.h
+++ b/core/load/placement.h
@@ -162,7 +162,18 @@
                   const InFlightLoad& load,
                   Millis now);
 
-  bool IsDrainingOrGone(const std::string& server_id) const;
+  // Sets a hook that Choose asks for each candidate; a server for which it
+  // returns false is not chosen.
+  using MayPlace = std::function<bool(const BackendEntry& entry, Millis now)>;
+  void SetMayPlace(MayPlace hook) { may_place_ = std::move(hook); }
+  // Servers in these failure domains get nothing.
+  void SetEvacuatedDomains(std::set<std::string> domains) {
+    evacuated_domains_ = std::move(domains);
+  }
+
+  // Returns false if a request that was placed on the server must not be sent
+  // to it any more.
+  bool MayStillSend(const std::string& server_id) const;
   std::vector<ServerView> View(Millis now) const;
 
  private:
@@ -202,6 +213,8 @@
     Tokens prefill_tokens = 0;
   };
 
+  // False if the server is draining or its failure domain is evacuated.
+  bool IsUsable(const Server& server) const;
   InFlightLoad SumPeerLoads(const Server& server, Millis now) const;
   double LoadMs(const Server& server, bool is_model, Millis now) const;
   void NotifyLoadChange() const;
@@ -216,6 +229,8 @@
   std::unordered_map<DispatchId, Dispatch> dispatches_;
   DispatchId last_dispatch_id_ = 0;
   std::function<void()> on_load_change_;
+  MayPlace may_place_;
+  std::set<std::string> evacuated_domains_;
   // Time of the last report from any peer.
   std::optional<Millis> last_peer_load_;
 };
--- a/io/http_server.cc
+++ b/io/http_server.cc
@@ -12,6 +12,7 @@
 #include <QTimer>
 #include <algorithm>
 #include <cerrno>
+#include <charconv>
 #include <cstring>
 #include <optional>
 #include <set>
@@ -170,6 +171,14 @@
          body;
 }
 
+// Returns the request's Content-Length, or 0 if it has none.
+std::size_t StatedLength(const HttpRequestHead& head) {
+  const auto text = FindHeader(head.headers, "Content-Length");
+  std::size_t n = 0;
+  std::from_chars(text.data(), text.data() + text.size(), n);
+  return n;
+}
+
 IncomingRequest MakeIncoming(const HttpRequestHead& head, std::string body) {
   const auto question_mark =
       std::min(head.target.find('?'), head.target.size());
@@ -187,12 +196,16 @@
 class CallerConnection : public QObject {
  public:
   using OnRequest = std::function<void(CallerConnection&, IncomingRequest)>;
+  using RefuseAtHead =
+      std::function<std::optional<EarlyResponse>(const HttpRequestHead&)>;
 
   CallerConnection(qintptr descriptor,
                    const HttpLimits* limits,
+                   RefuseAtHead refuse_at_head,
                    OnRequest on_request,
                    std::function<void(CallerConnection*)> on_closed)
       : limits_(limits),
+        refuse_at_head_(std::move(refuse_at_head)),
         on_request_(std::move(on_request)),
         on_closed_(std::move(on_closed)) {
     is_valid_ = socket_.setSocketDescriptor(descriptor);
@@ -332,6 +345,10 @@
     const auto result = parser_->Parse(buffer_);
     buffer_.erase(0, result.used);
     if (!had_head && parser_->is_head_done()) {
+      if (const auto response = refuse_at_head_(parser_->head())) {
+        SendLast(*response);
+        return;
+      }
       deadline_ = request_start_ + limits_->request_timeout;
       if (result.state == ParseState::kNeedsMore &&
           parser_->head().expects_continue) {
@@ -377,7 +394,21 @@
     }
   }
 
+  // Sends the response and closes the connection, without parsing the rest of
+  // its input.
+  void SendLast(const EarlyResponse& response) {
+    HttpHeaders headers = response.headers;
+    headers.emplace_back("Content-Length",
+                         std::to_string(response.body.size()));
+    headers.emplace_back("Connection", "close");
+    if (Send(FormatHead(StatusLine(response.status), headers) +
+             response.body)) {
+      CloseGracefully();
+    }
+  }
+
   const HttpLimits* limits_;
+  RefuseAtHead refuse_at_head_;
   OnRequest on_request_;
   std::function<void(CallerConnection*)> on_closed_;
   QTcpSocket socket_;
@@ -567,6 +598,7 @@
   Impl(const HttpServerOptions& options, HttpHandler handler)
       : handler_(std::move(handler)),
         unread_time_(options.unread_time),
+        refuse_at_head_(options.refuse_at_head),
         listener_([this](qintptr it) { Accept(it); }) {
     Descriptor descriptor(OpenListener(options));
     if (!listener_.setSocketDescriptor(descriptor.get())) {
@@ -634,6 +666,10 @@
   void Accept(qintptr descriptor) {
     auto* socket = new CallerConnection(
         descriptor, &limits_,
+        [this](const HttpRequestHead& it) {
+          return refuse_at_head_ ? refuse_at_head_(it, StatedLength(it))
+                                 : std::nullopt;
+        },
         [this](CallerConnection& it, IncomingRequest request) {
           Handle(it, std::move(request));
         },
@@ -692,6 +728,9 @@
 
   HttpHandler handler_;
   std::function<Millis()> unread_time_;
+  std::function<std::optional<EarlyResponse>(const HttpRequestHead&,
+                                             std::size_t)>
+      refuse_at_head_;
   HttpLimits limits_;
   Listener listener_;
   std::uint16_t port_ = 0;
--- a/io/http_server.h
+++ b/io/http_server.h
@@ -3,10 +3,12 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
 #include "io/http_message.h"
+#include "io/http_parser.h"
 #include "src/error.h"
 
 // Defines the HTTP/1.1 server used for callers and for administration.
@@ -63,6 +65,13 @@
 
 using HttpHandler = std::function<void(const IncomingRequest&, HttpReply)>;
 
+// A response that is sent before the body of its request has arrived.
+struct EarlyResponse {
+  int status = 503;
+  HttpHeaders headers;
+  std::string body;
+};
+
 // Limits on the size and duration of requests.
 struct HttpLimits {
   std::size_t max_header_bytes = 64 << 10;
@@ -88,6 +97,13 @@
   // Returns the longest time that data which is read now can have been waiting
   // unread. May be empty.
   std::function<Millis()> unread_time;
+  // Asked once for each request, when its head has arrived. If it returns a
+  // response, the rest of the request is discarded and the connection closed
+  // after the response. `body_bytes` is the stated length, or 0 if the body is
+  // chunked. May be empty.
+  std::function<std::optional<EarlyResponse>(const HttpRequestHead& head,
+                                             std::size_t body_bytes)>
+      refuse_at_head;
 };
 
 // Listens on the calling thread. Throws UserError "listen_failed".
--- a/tests/correctness/desired_state_test.cc
+++ b/tests/correctness/desired_state_test.cc
@@ -28,7 +28,8 @@
    "idle_timeout_ms":40},
   "tenants":[{"name":"t","api_keys":["k"],"prepaid":500,"priority":1}],
   "services":[{"name":"s","health_path":"/h","max_connections":9,
-   "engine":{"slots":64,"kv_capacity_tokens":1000,"stride":7}}],
+   "engine":{"slots":64,"kv_capacity_tokens":1000,"stride":7},
+   "cold_start_s":1.5,"cold_per_s":6.6}],
   "routes":[{"name":"r","host":"h","prefix":"/p/","kind":"streaming",
    "timeout_ms":600,"target_latency_ms":50,"priority":2,"max_attempts":2,
    "public":false,"session_affinity":true,"resumable":true,"gap_aim_ms":400,
@@ -81,7 +82,8 @@
   CHECK(state.client_accounts ==
         std::vector<ClientAccountSpec>{{"t", {"k"}, 1, 500}});
   CHECK(state.services ==
-        std::vector<ServiceSpec>{{"s", "/h", 9, EngineSpec{64, 1000, 7}}});
+        std::vector<ServiceSpec>{
+            {"s", "/h", 9, EngineSpec{64, 1000, 7}, Millis{1500}, 6.6}});
   CHECK(state.limits == CallerLimits{1000, 2000, Millis{30}, Millis{40}});
   REQUIRE(state.routes.size() == 1);
   CHECK(state.routes[0].kind == RouteKind::kStreaming);
--- a/tests/correctness/placement_test.cc
+++ b/tests/correctness/placement_test.cc
@@ -207,8 +207,8 @@
   entries[0].is_draining = true;
   entries[1].start_time_ms = 7;
   placement.SetServers(entries, kNow);
-  CHECK(placement.IsDrainingOrGone("e0"));
-  CHECK(placement.IsDrainingOrGone("e9"));
+  CHECK_FALSE(placement.MayStillSend("e0"));
+  CHECK_FALSE(placement.MayStillSend("e9"));
   CHECK(placement.Choose({.service = "model", .now = kNow})->server_id == "e1");
   CHECK(placement.View(kNow).back().in_flight == 0);
 }
--- /dev/null
+++ b/tests/correctness/request_codec_test.cc
@@ -0,0 +1,27 @@
+#include "platform/request_codec.h"
+
+#include <catch2/catch.hpp>
+
+#include "platform/wire_names.h"
+
+namespace crocuslatch::platform {
+namespace {
+
+std::optional<ReportedLoad> Decode(const std::string& text) {
+  return DecodeServerResponse(200, {{std::string(kServerLoad), text}}).load;
+}
+
+}  // namespace
+
+// Guards against dropping the reports of servers that share their machines.
+TEST_CASE("a load header has three or four figures") {
+  CHECK(Decode("3,0,8") == ReportedLoad{3, 0, 8, 100});
+  CHECK(Decode("3,0,8,250") == ReportedLoad{3, 0, 8, 250});
+  CHECK(Decode("3, 0, 8, 99999") == ReportedLoad{3, 0, 8, 1000});
+  CHECK(Decode("3,0,8,0") == ReportedLoad{3, 0, 8, 20});
+  CHECK_FALSE(Decode("3,0"));
+  CHECK_FALSE(Decode("3,0,8,x"));
+  CHECK_FALSE(Decode("3,0,8,100,1"));
+}
+
+}  // namespace crocuslatch::platform
