--- a/app/host_directory.cc
+++ b/app/host_directory.cc
@@ -24,6 +24,7 @@
   // count as new.
   std::map<std::string, Host> hosts;
   Millis last_read_at{0};
+  Millis started_at{0};
 
   // Compares with the time of the last successful read, so that hosts stay
   // listed while the store is unreachable.
@@ -41,17 +42,22 @@
   }
 
   void OnRead(const StoreRangeResult& range) {
+    const auto known_hosts = hosts.size();
     if (range.status == StoreStatus::kOk) {
       for (const auto& it : range.items) {
         UpdateHost(it);
       }
       last_read_at = loop.now();
     }
-    loop.after(options.poll_period, [self = weak_from_this()] {
-      if (const auto core = self.lock()) {
-        core->Read();
-      }
-    });
+    const bool is_discovering =
+        hosts.size() > known_hosts ||
+        (hosts.empty() && loop.now() - started_at < options.discovery_time);
+    loop.after(is_discovering ? options.discovery_period : options.poll_period,
+               [self = weak_from_this()] {
+                 if (const auto core = self.lock()) {
+                   core->Read();
+                 }
+               });
   }
 
   void UpdateHost(const StoreItem& item) {
@@ -80,6 +86,7 @@
 HostDirectory::~HostDirectory() = default;
 
 void HostDirectory::Start() {
+  core_->started_at = core_->loop.now();
   core_->Read();
 }
 
--- a/app/host_directory.h
+++ b/app/host_directory.h
@@ -20,6 +20,11 @@
   std::string prefix;
   std::string own_host;
   Millis poll_period{5000};
+  // Delay until the next read after one that found new hosts, or none within
+  // `discovery_time` of the start. Hosts that start together see few of the
+  // others at first, and each calls the store for itself until it knows them.
+  Millis discovery_period{700};
+  Millis discovery_time{3000};
   // A host whose stamp has not changed for this long is left out.
   Millis stale_after{20000};
 };
--- a/tests/correctness/followers_test.cc
+++ b/tests/correctness/followers_test.cc
@@ -2,7 +2,9 @@
 #include <optional>
 
 #include "app/desired_state_follower.h"
+#include "app/host_directory.h"
 #include "app/server_registry_reader.h"
+#include "core/host_stamp.h"
 #include "src/error.h"
 #include "tests/fake_loop.h"
 
@@ -261,4 +263,23 @@
   CHECK(process->follower.current()->FindAccount("withdrawn") == nullptr);
 }
 
+// Guards against hosts that start together and call the store for themselves
+// for a whole period, because none had written its stamp when the others read.
+TEST_CASE("hosts that start together know each other within a second") {
+  Fixture fixture;
+  HostDirectory directory({.prefix = "hosts/", .own_host = "a"}, fixture.store,
+                          fixture.loop.Hooks());
+  directory.Start();
+  fixture.loop.RunFor(Millis{300});
+  CHECK(directory.OtherHosts().empty());
+  fixture.items = {{"hosts/b", 11, EncodeHostStamp({.peer_address = "h:1"})}};
+  fixture.loop.RunFor(Millis{700});
+  CHECK(directory.OtherHosts() == std::vector<std::string>{"b"});
+  // Without new hosts, the reads become rare again.
+  fixture.loop.RunFor(Millis{1000});
+  const int reads = fixture.reads;
+  fixture.loop.RunFor(Millis{4500});
+  CHECK(fixture.reads - reads <= 1);
+}
+
 }  // namespace crocuslatch
