Send nothing to servers of evacuated failure domains

Cause: operators evacuate a failure domain by a key in the store, and no host read it. The shared watch dropped removals: their events have version 0, and only events above the caller's revision were passed on. Change: EvacuationFollower reads the keys and follows them by a watch that the hosts of a failure domain share; the placement and the check before sending get the domains. A host that has not read the keys is not ready and refuses requests. The delays of the watch take less than half of evacuate_ms. Where that is not set, nothing is read.

--- a/app/front.cc
+++ b/app/front.cc
@@ -6,9 +6,11 @@
 #include <QRandomGenerator>
 #include <algorithm>
 #include <optional>
+#include <set>
 #include <utility>
 
 #include "app/desired_state_follower.h"
+#include "app/evacuation_follower.h"
 #include "app/forwarding.h"
 #include "app/holder_recovery.h"
 #include "app/host_directory.h"
@@ -165,13 +167,9 @@
   explicit Core(const FrontSettings& settings)
       : settings(settings),
         registry_timing(MakeRegistryTiming(settings.drain)),
+        evacuation_timing(MakeEvacuationTiming(settings.evacuate)),
         loop(MakeFrontLoop()),
-        relayed_store({.aggregator_timeout =
-                           std::min(RelayedStoreOptions{}.aggregator_timeout,
-                                    registry_timing.aggregator_timeout),
-                       .shared_read_ttl = registry_timing.shared_read_ttl,
-                       .shared_watch_wait =
-                           Fraction(kWatchFraction, settings.config_apply)},
+        relayed_store(MakeRelayedStoreOptions(),
                       MakeDirectStore(),
                       loop,
                       MakeRelayedStoreHooks()),
@@ -188,6 +186,7 @@
 
   const FrontSettings settings;
   const RegistryTiming registry_timing;
+  const EvacuationTiming evacuation_timing;
   const EventLoop loop;
   Metrics metrics_registry;
   HttpClient store_client;
@@ -206,6 +205,8 @@
   const HostStamp start_stamp;
   std::unique_ptr<DesiredStateFollower> follower;
   std::unique_ptr<ServerRegistryReader> server_registry;
+  // Null if evacuations are not in use.
+  std::unique_ptr<EvacuationFollower> evacuations;
   std::unique_ptr<HostDirectory> hosts;
   std::unique_ptr<PromptQuarantine> quarantine;
   std::unique_ptr<PeerNetwork> peer_network;
@@ -221,6 +222,7 @@
   std::unique_ptr<HttpServer> caller_server;
   std::unique_ptr<HttpServer> readiness_server;
   std::unique_ptr<HttpServer> metrics_server;
+  std::set<std::string> evacuated_domains;
   Millis store_answered_at{0};
   // Time of the last request that was refused because this host lacked tokens,
   // although the ledger may have some.
@@ -232,6 +234,24 @@
   std::optional<Millis> return_began_at;
   bool is_return_done = false;
 
+  bool UsesEvacuations() const { return settings.evacuate > Millis{0}; }
+
+  RelayedStoreOptions MakeRelayedStoreOptions() const {
+    RelayedStoreOptions options;
+    options.aggregator_timeout = std::min(options.aggregator_timeout,
+                                          registry_timing.aggregator_timeout);
+    options.shared_read_ttl = registry_timing.shared_read_ttl;
+    options.shared_watch_wait = Fraction(kWatchFraction, settings.config_apply);
+    if (UsesEvacuations()) {
+      options.aggregator_timeout = std::min(
+          options.aggregator_timeout, evacuation_timing.aggregator_timeout);
+      options.shared_watch_wait =
+          std::min(options.shared_watch_wait, evacuation_timing.watch_duration);
+      options.shared_watch_overdue = evacuation_timing.watch_overdue;
+    }
+    return options;
+  }
+
   Store MakeDirectStore() {
     return BatchWrites(
         {.deferrable_prefix = std::string(kHostsPrefix)},
@@ -411,6 +431,14 @@
             .late_after = registry_timing.late_after},
         aggregated_store, loop, &platform::DecodeBackendEntry,
         [this](const auto& it) { placement.SetServers(it, loop.now()); });
+    if (UsesEvacuations()) {
+      evacuations = std::make_unique<EvacuationFollower>(
+          EvacuationFollowerOptions{
+              .prefix = std::string(platform::kEvacuationsPrefix),
+              .watch_duration = evacuation_timing.watch_duration},
+          aggregated_store, loop,
+          [this](const auto& it) { OnEvacuatedDomains(it); });
+    }
     auto caller_options = ListenOptions(settings.caller_address);
     caller_options.unread_time = [this] {
       return loop_lag.MaxUnreadTime(loop.now());
@@ -441,6 +469,9 @@
         .Add("store", settings.store_address);
     follower->Start();
     server_registry->Start();
+    if (evacuations) {
+      evacuations->Start();
+    }
     hosts->Start();
     quarantine->Start();
     ReadSecret();
@@ -728,7 +759,11 @@
     context->client = &client;
     context->placement = &placement;
     context->retry_budget = &retry_budget;
-    context->routing_table = [this] { return follower->current(); };
+    // A request may arrive before the host is ready, and without the set of
+    // evacuated domains it could be sent to one of them.
+    context->routing_table = [this] {
+      return KnowsEvacuations() ? follower->current() : nullptr;
+    };
     context->reserve = [this](const std::string& account, Tokens amount,
                               Millis wait, auto callback) {
       grants->Reserve(account, amount, wait, std::move(callback));
@@ -771,6 +806,27 @@
             .idle_timeout = limits.idle_timeout};
   }
 
+  bool KnowsEvacuations() const {
+    return !UsesEvacuations() || (evacuations && evacuations->is_known());
+  }
+
+  void OnEvacuatedDomains(const std::set<std::string>& domains) {
+    for (const auto& it : domains) {
+      if (!evacuated_domains.contains(it)) {
+        metrics_registry.IncrementCounter("evacuations", "change",
+                                          it + ":evacuated");
+      }
+    }
+    for (const auto& it : evacuated_domains) {
+      if (!domains.contains(it)) {
+        metrics_registry.IncrementCounter("evacuations", "change",
+                                          it + ":restored");
+      }
+    }
+    evacuated_domains = domains;
+    placement.SetEvacuatedDomains(domains);
+  }
+
   void OnDesiredState(const RoutingTablePointer& table) {
     caller_server->SetLimits(MakeLimits(table->state().limits));
   }
@@ -792,6 +848,9 @@
     if (!server_registry->last_read_time()) {
       return "no_servers_known";
     }
+    if (!KnowsEvacuations()) {
+      return "no_evacuations_known";
+    }
     if (IsCutOff() && loop.now() - refused_at < kRefusalWindow) {
       return "store_unreachable";
     }
--- a/app/relayed_store.cc
+++ b/app/relayed_store.cc
@@ -513,7 +513,8 @@
   core_->loop = std::move(loop);
   core_->hooks = std::move(hooks);
   core_->shared_watch = std::make_unique<SharedWatch>(
-      SharedWatchOptions{.wait = options.shared_watch_wait},
+      SharedWatchOptions{.wait = options.shared_watch_wait,
+                         .overdue_time = options.shared_watch_overdue},
       core_->direct_store, core_->loop);
 }
 
--- a/app/relayed_store.h
+++ b/app/relayed_store.h
@@ -35,6 +35,8 @@
   // one watch for all hosts.
   Millis write_deferral{400};
   Millis shared_watch_wait{1000};
+  // See SharedWatchOptions::overdue_time.
+  Millis shared_watch_overdue{300};
   // Timeout for a peer's response, in addition to the call's own wait.
   Millis peer_timeout{600};
   // While the direct path is down, it is retried at this period, and the calls
--- a/app/shared_watch.cc
+++ b/app/shared_watch.cc
@@ -15,14 +15,22 @@
     StoreRangeCallback callback;
   };
 
+  struct Event {
+    StoreItem item;
+    // Store revision by which the event had happened.
+    std::uint64_t revision = 0;
+  };
+
   // The watch of one prefix. It exists while somebody waits.
   struct Prefix {
     // All events between these revisions are known.
     std::uint64_t known_after = 0;
     std::uint64_t revision = 0;
     // Newest event of each key.
-    std::map<std::string, StoreItem> newest;
+    std::map<std::string, Event> newest;
     std::vector<Waiter> waiters;
+    // Time of the store's last answer.
+    Millis answered_at{0};
     // The watch of the store that is under way.
     std::uint64_t call_id = 0;
   };
@@ -38,9 +46,9 @@
                                       std::uint64_t after) {
     StoreRangeResult range{.status = StoreStatus::kOk,
                            .revision = std::max(after, prefix.revision)};
-    for (const auto& [key, item] : prefix.newest) {
-      if (item.version > after) {
-        range.items.push_back(item);
+    for (const auto& [key, event] : prefix.newest) {
+      if (event.revision > after) {
+        range.items.push_back(event.item);
       }
     }
     return range;
@@ -88,7 +96,12 @@
     }
     const auto waiter = *it;
     waiters.erase(it);
-    waiter.callback(EventsAfter(found->second, waiter.after));
+    auto range = EventsAfter(found->second, waiter.after);
+    // The connection may have gone silent since the last answer.
+    constexpr Millis kMaxStaleness = std::chrono::hours(1);
+    range.staleness =
+        std::min(loop.now() - found->second.answered_at, kMaxStaleness);
+    waiter.callback(range);
   }
 
   void Run(const std::string& name) {
@@ -132,10 +145,15 @@
       }
       return;
     }
+    prefix.answered_at = loop.now();
     prefix.revision = std::max(prefix.revision, range.revision);
     for (const auto& it : range.items) {
       prefix.revision = std::max(prefix.revision, it.version);
-      prefix.newest[it.key] = it;
+    }
+    for (const auto& it : range.items) {
+      // The event of a removed key has no version of its own.
+      prefix.newest[it.key] = {it,
+                               it.version != 0 ? it.version : prefix.revision};
     }
     Answer(name);
     // An answered caller may have added a waiter; the prefix exists until the
--- a/app/shared_watch.h
+++ b/app/shared_watch.h
@@ -33,7 +33,8 @@
   ~SharedWatch();
 
   // Passes the newest event of each key under `prefix` after the revision
-  // `after` as soon as there is one, and no event after `wait`. The status is
+  // `after` as soon as there is one, and no event after `wait`; in that case
+  // `staleness` is the time since the store's last answer. The status is
   // kUnknown if the store does not answer in time. A caller whose revision is
   // older than the shared watch gets a watch of its own.
   void Watch(const std::string& prefix,
--- a/core/registry_timing.h
+++ b/core/registry_timing.h
@@ -36,6 +36,29 @@
 // if its aggregator has fallen silent.
 Millis MaxUnreadTime(const RegistryTiming& timing);
 
+// The same for evacuated failure domains. Their keys rarely change, so hosts
+// share a watch of the store instead of reading.
+struct EvacuationTiming {
+  // Duration of one watch. While nothing changes, each watch of a failure
+  // domain is one call of the store.
+  Millis watch_duration{0};
+  // Time beyond its duration after which a shared watch counts as failed: its
+  // connection may have gone silent.
+  Millis watch_overdue{0};
+  // Time beyond its duration after which a host stops waiting for a watch of
+  // its aggregator.
+  Millis aggregator_timeout{0};
+  auto operator<=>(const EvacuationTiming&) const = default;
+};
+
+// `evacuate` is the time after which servers of an evacuated failure domain
+// must get no request.
+EvacuationTiming MakeEvacuationTiming(Millis evacuate);
+
+// Time from an evacuation until a host asks the store itself, if its aggregator
+// or the aggregator's connection to the store has fallen silent.
+Millis MaxUnreadTime(const EvacuationTiming& timing);
+
 }  // namespace crocuslatch
 
 #endif  // CORE_REGISTRY_TIMING_H_
--- a/src/log.cc
+++ b/src/log.cc
@@ -125,6 +125,10 @@
       {LogEvent::kServerCrashed, LogLevel::kWarning, "server_crashed"},
       {LogEvent::kPromptQuarantined, LogLevel::kError, "prompt_quarantined"},
       {LogEvent::kPromptReleased, LogLevel::kWarning, "prompt_released"},
+      {LogEvent::kDomainEvacuated, LogLevel::kWarning, "domain_evacuated"},
+      {LogEvent::kDomainRestored, LogLevel::kInfo, "domain_restored"},
+      {LogEvent::kServerCold, LogLevel::kInfo, "server_cold"},
+      {LogEvent::kServerWarm, LogLevel::kInfo, "server_warm"},
   };
   return kCatalogue;
 }
--- a/src/log.h
+++ b/src/log.h
@@ -84,6 +84,10 @@
   kServerCrashed = 708,
   kPromptQuarantined = 709,
   kPromptReleased = 710,
+  kDomainEvacuated = 711,
+  kDomainRestored = 712,
+  kServerCold = 713,
+  kServerWarm = 714,
 };
 
 struct LogEventInfo {
--- a/tests/correctness/registry_timing_test.cc
+++ b/tests/correctness/registry_timing_test.cc
@@ -15,4 +15,14 @@
   CHECK(timing.late_after < drain);
 }
 
+// Guards against a domain that still gets requests after the bound, since the
+// delays of its hosts add up.
+TEST_CASE("the delays of evacuations leave half of their bound") {
+  const Millis evacuate{GENERATE(500, 1000, 5000, 30000)};
+  const auto timing = MakeEvacuationTiming(evacuate);
+  CHECK(MaxUnreadTime(timing) <= evacuate / 2);
+  // Well under one call per second and failure domain at 5 s.
+  CHECK((evacuate < Millis{5000} || timing.watch_duration >= Millis{2000}));
+}
+
 }  // namespace crocuslatch
--- a/tests/correctness/shared_watch_test.cc
+++ b/tests/correctness/shared_watch_test.cc
@@ -98,6 +98,27 @@
   CHECK(it.calls == calls + 1);
 }
 
+// Guards against a restored failure domain whose removed key no host learns of:
+// the event of a removed key has version 0.
+TEST_CASE("the removal of a key reaches every host once") {
+  Fixture it;
+  std::vector<StoreRangeResult> results;
+  const auto collect = [&](const auto& range) { results.push_back(range); };
+  it.watch.Watch("op", 10, Millis{900}, collect);
+  it.watch.Watch("op", 10, Millis{900}, collect);
+  it.revision = 12;
+  it.End(
+      {.status = StoreStatus::kOk, .items = {{"op", 0, ""}}, .revision = 12});
+  REQUIRE(results.size() == 2);
+  REQUIRE(results[1].items.size() == 1);
+  CHECK(results[1].items[0].version == 0);
+  CHECK(results[1].revision == 12);
+  it.watch.Watch("op", 12, Millis{400}, collect);
+  it.loop.RunFor(Millis{401});
+  REQUIRE(results.size() == 3);
+  CHECK(results[2].items.empty());
+}
+
 TEST_CASE("a watch without a change ends after its wait") {
   Fixture it;
   std::optional<StoreRangeResult> result;
@@ -109,6 +130,8 @@
   CHECK(result->status == StoreStatus::kOk);
   CHECK(result->items.empty());
   CHECK(result->revision == 10);
+  // The store has not answered yet, so nothing is known about the time since.
+  CHECK(result->staleness >= Millis{400});
 }
 
 // Guards against hosts that wait for a store which does not answer.
--- a/tests/process/platform_standin.cc
+++ b/tests/process/platform_standin.cc
@@ -56,6 +56,11 @@
   events_.push_back({key, revision_});
 }
 
+void PlatformStore::Remove(const std::string& key) {
+  items_.erase(key);
+  events_.push_back({key, ++revision_});
+}
+
 std::int64_t PlatformStore::RevisionOf(const std::string& key) const {
   const auto it = items_.find(key);
   return it == items_.end() ? 0 : it->second.revision;
@@ -81,6 +86,10 @@
 }
 
 void PlatformStore::OnRequest(const IncomingRequest& request, HttpReply reply) {
+  if (is_down_) {
+    reply.SendResponse(500, {}, "");
+    return;
+  }
   if (request.path == "/-/kv-key") {
     const auto key = Query(request, "key");
     const bool is_found = items_.contains(key);
@@ -166,10 +175,12 @@
 
 PlatformServer::PlatformServer(PlatformStore* store,
                                std::string service,
-                               std::string id)
+                               std::string id,
+                               std::string failure_domain)
     : store_(store),
       service_(std::move(service)),
       id_(std::move(id)),
+      failure_domain_(std::move(failure_domain)),
       server_({},
               [this](const IncomingRequest& request, const HttpReply& reply) {
                 OnRequest(request, reply);
@@ -182,7 +193,7 @@
               {{"service", QString::fromStdString(service_)},
                {"address", QString::fromStdString(
                                fmt::format("127.0.0.1:{}", server_.port()))},
-               {"zone", "a"},
+               {"zone", QString::fromStdString(failure_domain_)},
                {"version", "v1"},
                {"slots", 64},
                {"state", "ready"},
--- a/tests/process/platform_standin.h
+++ b/tests/process/platform_standin.h
@@ -20,6 +20,9 @@
   PlatformStore();
   std::string address() const;
   void Put(const std::string& key, const QJsonObject& value);
+  void Remove(const std::string& key);
+  // While it is down, it answers every call with 500.
+  void SetDown(bool is_down) { is_down_ = is_down; }
 
  private:
   struct Item {
@@ -44,6 +47,7 @@
   std::map<std::string, Item> items_;
   std::vector<Event> events_;
   std::int64_t revision_ = 100;
+  bool is_down_ = false;
   HttpServer server_;
 };
 
@@ -51,7 +55,10 @@
 // answer: "<events>-<ms between them>" for a stream, "<ms>" for an order.
 class PlatformServer {
  public:
-  PlatformServer(PlatformStore* store, std::string service, std::string id);
+  PlatformServer(PlatformStore* store,
+                 std::string service,
+                 std::string id,
+                 std::string failure_domain = "a");
 
   // Number of times that each request ran, by its id.
   const std::map<std::string, int>& runs() const { return runs_; }
@@ -63,6 +70,7 @@
   PlatformStore* store_;
   const std::string service_;
   const std::string id_;
+  const std::string failure_domain_;
   int sequence_ = 0;
   std::map<std::string, int> runs_;
   QObject context_;
