Refuse at once what no server can serve in its time

Cause: placement names a server for every request, however long its queue, so that requests wait at servers until their time limits; a prompt that no engine holds was sent to one server after another. A prompt larger than the service's engines ends with 413 prompt_too_large before anything is reserved.

--- a/app/forwarding.cc
+++ b/app/forwarding.cc
@@ -44,6 +44,9 @@
 // may have passed. The caller's next connection may reach another host.
 constexpr Millis kReadLateRetryAfter{50};
 
+// Retry-After of a request that no server could be found for.
+constexpr Millis kDispatchRetryAfter{200};
+
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
@@ -111,7 +114,7 @@
         self->OnCallerDisconnected();
       }
     });
-    if (!ResolveRoute()) {
+    if (!ResolveRoute() || FailIfTooLarge()) {
       return;
     }
     const auto remaining = std::min(
@@ -287,6 +290,53 @@
                : std::nullopt;
   }
 
+  // Ends the request if no engine can hold its prompt.
+  bool FailIfTooLarge() {
+    if (!engine_ || !caller_.work || FitsEngine(*caller_.work, *engine_)) {
+      return false;
+    }
+    LogLine(LogEvent::kAdmissionRefused)
+        .Add("request", caller_.request_id)
+        .Add("route", route_->name)
+        .Add("service", service_)
+        .Add("reason", "prompt_too_large")
+        .Add("prompt_tokens", caller_.work->prompt_tokens)
+        .Add("capacity_tokens", engine_->kv_capacity);
+    Fail({413, "prompt_too_large",
+          fmt::format("the prompt has more than the {} tokens that a backend "
+                      "server can hold",
+                      engine_->kv_capacity),
+          "send a shorter prompt"});
+    return true;
+  }
+
+  // Ends the request if even the best server could not answer in its time.
+  bool FailIfTooLate(const PlacementChoice& choice, Millis now) {
+    if (caller_.work && !StatesPromptSize(*caller_.work)) {
+      return false;
+    }
+    const auto decision =
+        DecideAdmission(context_->admission, {.expected_ms = choice.expected_ms,
+                                              .time_left = deadline_ - now,
+                                              .random = context_->random()});
+    if (decision.is_admitted) {
+      return false;
+    }
+    LogLine(LogEvent::kAdmissionRefused)
+        .Add("request", caller_.request_id)
+        .Add("route", route_->name)
+        .Add("service", service_)
+        .Add("reason", "queue_too_long")
+        .Add("server", choice.server_id)
+        .Add("expected_ms", choice.expected_ms)
+        .Add("left_ms", deadline_ - now)
+        .Add("retry_after_ms", decision.retry_after);
+    FailDispatch("queue_too_long",
+                 "no backend server can answer within the time limit",
+                 decision.retry_after);
+    return true;
+  }
+
   // Ends the request if its prompt has a part that crashes servers.
   bool FailIfQuarantined() {
     const auto verdict = Verdict();
@@ -327,6 +377,9 @@
                    "no backend server is available for the request");
       return;
     }
+    if (FailIfTooLate(*choice, now)) {
+      return;
+    }
     ++attempts_;
     server_id_ = choice->server_id;
     server_address_ = choice->address;
@@ -644,12 +697,14 @@
 
   // Ends the request without another dispatch. The status is 503 only if no
   // server can have run the request.
-  void FailDispatch(const std::string& code, const std::string& message) {
+  void FailDispatch(const std::string& code,
+                    const std::string& message,
+                    Millis retry_after = kDispatchRetryAfter) {
     if (may_have_run_) {
       Fail(OutcomeUnknown(kBadGateway, code, message));
       return;
     }
-    Fail(Unavailable(code, message, Millis{200}));
+    Fail(Unavailable(code, message, retry_after));
   }
 
   void EndDispatch(DispatchResult result, HttpResult end) {
--- a/app/forwarding.h
+++ b/app/forwarding.h
@@ -9,6 +9,7 @@
 #include "app/prompt_quarantine.h"
 #include "app/token_loans.h"
 #include "core/desired_state.h"
+#include "core/load/admission.h"
 #include "core/load/placement.h"
 #include "core/retry_budget.h"
 #include "io/http_client.h"
@@ -40,6 +41,7 @@
 struct ForwardContext {
   EventLoop loop;
   ForwardLimits limits;
+  AdmissionOptions admission;
   HttpClient* client = nullptr;
   Placement* placement = nullptr;
   RetryBudget* retry_budget = nullptr;
--- a/src/log.cc
+++ b/src/log.cc
@@ -114,6 +114,7 @@
       {LogEvent::kReservationRefused, LogLevel::kInfo, "reservation_refused"},
       {LogEvent::kRequestWithdrawn, LogLevel::kInfo, "request_withdrawn"},
       {LogEvent::kRequestShed, LogLevel::kInfo, "request_shed"},
+      {LogEvent::kAdmissionRefused, LogLevel::kInfo, "admission_refused"},
       {LogEvent::kBackendEjected, LogLevel::kWarning, "backend_ejected"},
       {LogEvent::kBackendReadmitted, LogLevel::kInfo, "backend_readmitted"},
       {LogEvent::kBackendLeaving, LogLevel::kInfo, "backend_leaving"},
--- a/src/log.h
+++ b/src/log.h
@@ -74,6 +74,7 @@
   kReservationRefused = 608,
   kRequestWithdrawn = 609,
   kRequestShed = 610,
+  kAdmissionRefused = 611,
   kBackendEjected = 700,
   kBackendReadmitted = 701,
   kBackendLeaving = 702,
