Learn the speeds of engines and use their momentary slowdown

Cause: engines of one service run at 0.6, 1.0 and 1.6 of their usual speed and no entry says so; a machine may be slower by 2.5 for 600 ms. Placement counted all servers as equal and dropped the reported slowdown. Change: the slowdown scales a server's expected work with a half-life of 300 ms and is passed on to peers. core/load/server_speed estimates each engine's speed relative to its service from prompt times and pauses, with medians over the figures of all hosts, a dead band of 15% and three standard errors. It scales prompt time and load, and weights the homes of sessions in five levels. The dispatch line tells a busy server from a slow one. Not measured on a deployment yet.

--- a/app/forwarding.cc
+++ b/app/forwarding.cc
@@ -355,6 +355,9 @@
         .Add("server", server_id_)
         .Add("attempt", attempts_)
         .Add("expected_ms", choice->expected_ms)
+        .Add("busy_ms", choice->busy_ms)
+        .Add("time_factor", choice->time_factor)
+        .Add("slowdown", choice->slowdown)
         .Add("home", choice->is_home)
         .Add("candidates", choice->candidates)
         .Add("left_ms", deadline_ - now)
@@ -427,8 +430,11 @@
     not_executed_ = response.not_executed && is_own;
     has_response_begun_ = has_response_begun_ || IsSuccess(status);
     if (response.load) {
-      context_->placement->OnLoadReport(server_id_, response.load->running,
-                                        response.load->waiting, now);
+      context_->placement->OnLoadReport(
+          server_id_,
+          {response.load->running, response.load->waiting,
+           response.load->slowdown_percent},
+          now);
     }
     response_headers_ = platform::FilterResponseHeaders(headers);
     if (IsSuccess(status) && !response.has_seal) {
@@ -493,6 +499,7 @@
     for (const auto& event : event_splitter_.Add(bytes)) {
       ++event_count_;
       last_event_at_ = context_->loop.now();
+      context_->placement->OnEvent(*dispatch_id_, last_event_at_);
       last_event_id_ = event.id;
       OnServed();
       StartStream();
--- a/app/front.cc
+++ b/app/front.cc
@@ -694,6 +694,18 @@
         LoadBroadcastHooks{.own_host = settings.host_name,
                            .peers = [this] { return hosts->OtherHosts(); }});
     placement.OnLoadChange([this] { load_broadcast->OnChange(); });
+    placement.speed().OnChange([this](const SpeedChange& it) {
+      const char* state = it.time_factor > 1   ? "slow"
+                          : it.time_factor < 1 ? "fast"
+                                               : "even";
+      metrics_registry.IncrementCounter("server_speed_changes", "state", state);
+      LogLine(LogEvent::kServerSpeedChanged)
+          .Add("server", it.server_id)
+          .Add("state", state)
+          .Add("time_factor", it.time_factor)
+          .Add("weight", it.weight)
+          .Add("home_level", it.home_level);
+    });
   }
 
   void StartStamps(const ApplyToShard& ledger) {
--- a/app/load_broadcast.cc
+++ b/app/load_broadcast.cc
@@ -1,24 +1,57 @@
 #include "app/load_broadcast.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <utility>
 
 namespace crocuslatch {
 namespace {
 
-BodyPacker PackLoads(std::vector<LocalLoad> loads) {
-  return [loads = std::move(loads)](flatbuffers::FlatBufferBuilder& builder) {
+// Limit on the speeds in one message; the rest follows in the next ones.
+constexpr std::size_t kMaxSpeedReports = 16;
+constexpr double kLogScale = 1000;
+constexpr double kWeightScale = 100;
+
+std::int32_t PackLog(const SpeedSummary& summary) {
+  return static_cast<std::int32_t>(std::lround(summary.log_ratio * kLogScale));
+}
+
+std::uint32_t PackWeight(const SpeedSummary& summary) {
+  return static_cast<std::uint32_t>(std::lround(summary.weight * kWeightScale));
+}
+
+SpeedSummary UnpackSummary(std::int32_t log_milli, std::uint32_t weight_centi) {
+  return {log_milli / kLogScale, weight_centi / kWeightScale};
+}
+
+BodyPacker PackLoads(std::vector<LocalLoad> loads,
+                     std::vector<SpeedReport> speeds) {
+  return [loads = std::move(loads),
+          speeds = std::move(speeds)](flatbuffers::FlatBufferBuilder& builder) {
     std::vector<flatbuffers::Offset<wire::ServerLoad>> servers;
     servers.reserve(loads.size());
     for (const auto& it : loads) {
       servers.push_back(wire::CreateServerLoadDirect(
           builder, it.server_id.c_str(),
           static_cast<std::uint32_t>(it.load.requests),
-          static_cast<std::uint64_t>(it.load.prefill_tokens)));
+          static_cast<std::uint64_t>(it.load.prefill_tokens),
+          static_cast<std::uint32_t>(it.slowdown_percent),
+          static_cast<std::uint32_t>(it.slowdown_age.count())));
+    }
+    std::vector<flatbuffers::Offset<wire::ServerSpeed>> packed_speeds;
+    packed_speeds.reserve(speeds.size());
+    for (const auto& it : speeds) {
+      packed_speeds.push_back(wire::CreateServerSpeedDirect(
+          builder, it.server_id.c_str(), it.start_time_ms, PackLog(it.kinds[0]),
+          PackWeight(it.kinds[0]), PackLog(it.kinds[1]),
+          PackWeight(it.kinds[1])));
     }
-    return PackedBody{wire::Body::LoadUpdate,
-                      wire::CreateLoadUpdateDirect(builder, &servers).Union()};
+    return PackedBody{
+        wire::Body::LoadUpdate,
+        wire::CreateLoadUpdateDirect(
+            builder, &servers, packed_speeds.empty() ? nullptr : &packed_speeds)
+            .Union()};
   };
 }
 
@@ -44,10 +77,12 @@
   void SendUpdates() {
     const auto loads =
         placement->TakeLoadUpdates(loop.now(), options.resend_period);
-    if (loads.empty()) {
+    const auto speeds =
+        placement->speed().TakeReports(loop.now(), kMaxSpeedReports);
+    if (loads.empty() && speeds.empty()) {
       return;
     }
-    const auto body = PackLoads(loads);
+    const auto body = PackLoads(loads, speeds);
     for (const auto& it : ChooseBroadcastPeers(hooks.own_host, hooks.peers(),
                                                options.max_peers)) {
       network->Send(it, body);
@@ -101,6 +136,24 @@
            .prefill_tokens = static_cast<Tokens>(
                std::min<std::uint64_t>(it->unread_tokens(), kMaxTokens))},
           core_->loop.now());
+      if (it->slowdown_percent() > 0) {
+        core_->placement->OnPeerSlowdown(
+            it->server()->str(), static_cast<int>(it->slowdown_percent()),
+            Millis{it->slowdown_age_ms()}, core_->loop.now());
+      }
+    }
+  }
+  if (update->speeds() != nullptr) {
+    for (const auto* it : *update->speeds()) {
+      core_->placement->speed().OnPeerReport(
+          host,
+          {.server_id = it->server()->str(),
+           .start_time_ms = it->started_ms(),
+           .kinds = {UnpackSummary(it->prompt_log_milli(),
+                                   it->prompt_weight_centi()),
+                     UnpackSummary(it->pause_log_milli(),
+                                   it->pause_weight_centi())}},
+          core_->loop.now());
     }
   }
   return true;
--- a/core/load/placement.cc
+++ b/core/load/placement.cc
@@ -7,11 +7,28 @@
 namespace crocuslatch {
 namespace {
 
-// Rendezvous hash; the server with the highest rank is the session's home.
-std::uint64_t HomeRank(std::string_view session, std::string_view server_id) {
-  return StableHash(server_id, StableHash(session));
+// Weighted rendezvous hash; the server with the highest rank is the session's
+// home. Each server is the home of a share of the sessions that is proportional
+// to its weight, and a server whose weight changes only gains or only loses
+// sessions.
+double HomeRank(std::string_view session,
+                std::string_view server_id,
+                double weight) {
+  constexpr int kFractionBits = 53;
+  constexpr int kHashBits = 64;
+  const auto hash = StableHash(server_id, StableHash(session));
+  // Uniform in (0, 1).
+  const double point =
+      std::ldexp(static_cast<double>(hash >> (kHashBits - kFractionBits)) + 0.5,
+                 -kFractionBits);
+  return weight / -std::log(point);
 }
 
+// Limits of the slowdown that a server may report; the codec has the same.
+constexpr int kMinSlowdownPercent = 20;
+constexpr int kMaxSlowdownPercent = 1000;
+constexpr int kUsualPercent = 100;
+
 // Returns the last prompt part that other requests share, or nullptr.
 const PromptPart* SessionPart(const ModelWork& work) {
   return work.parts.size() < 2 ? nullptr : &work.parts[work.parts.size() - 2];
@@ -28,7 +45,9 @@
 }  // namespace
 
 Placement::Placement(PlacementOptions options, std::string own_failure_domain)
-    : options_(options), own_failure_domain_(std::move(own_failure_domain)) {}
+    : options_(options),
+      own_failure_domain_(std::move(own_failure_domain)),
+      speed_(options.speed) {}
 
 void Placement::SetServers(const std::vector<BackendEntry>& entries,
                            Millis now) {
@@ -49,6 +68,7 @@
     next.emplace(it.id, std::move(server));
   }
   servers_ = std::move(next);
+  speed_.SetServers(entries, now);
 }
 
 InFlightLoad Placement::SumPeerLoads(const Server& server, Millis now) const {
@@ -93,6 +113,19 @@
          running * options_.ms_per_running + waiting * options_.ms_per_waiting;
 }
 
+double Placement::Slowdown(const Server& server, Millis now) const {
+  const double excess =
+      static_cast<double>(server.slowdown_percent) / kUsualPercent - 1;
+  const auto age = static_cast<double>((now - server.slowdown_at).count());
+  const auto half_life =
+      static_cast<double>(options_.slowdown_half_life.count());
+  return 1 + excess * std::exp2(-age / half_life);
+}
+
+double Placement::TimeFactor(const Server& server, Millis now) const {
+  return speed_.TimeFactor(server.entry.id) * Slowdown(server, now);
+}
+
 Tokens Placement::CachedTokens(const Server& server,
                                const ModelWork& work,
                                Millis now) const {
@@ -134,8 +167,10 @@
   struct Candidate {
     const Server* server = nullptr;
     double cost = 0;
-    std::uint64_t rank = 0;
+    double rank = 0;
+    double busy_ms = 0;
   };
+  speed_.Refresh(query.now);
   std::vector<Candidate> candidates;
   const bool is_model = query.work != nullptr;
   const auto* session = is_model ? SessionPart(*query.work) : nullptr;
@@ -148,7 +183,9 @@
         continue;
       }
       candidates.push_back(
-          {&server, 0, session != nullptr ? HomeRank(session->id, id) : 0});
+          {&server, 0,
+           session != nullptr ? HomeRank(session->id, id, speed_.HomeWeight(id))
+                              : 0});
     }
   };
   collect(false);
@@ -161,7 +198,9 @@
   const auto home =
       std::ranges::max_element(candidates, {}, &Candidate::rank)->server;
   for (auto& it : candidates) {
-    it.cost = LoadMs(*it.server, is_model, query.now);
+    it.busy_ms = LoadMs(*it.server, is_model, query.now);
+    it.cost = it.busy_ms;
+    const double factor = TimeFactor(*it.server, query.now);
     if (is_model) {
       Tokens cached = CachedTokens(*it.server, *query.work, query.now);
       if (session != nullptr && it.server == home) {
@@ -175,7 +214,11 @@
       it.cost += (static_cast<double>(unshared) +
                   options_.recompute_factor * static_cast<double>(recomputed)) /
                  options_.prompt_tokens_per_ms;
+    } else if (factor != 1) {
+      // The request's own work is the same on even servers and left out there.
+      it.cost += options_.ms_per_plain_request * (1 - 1 / factor);
     }
+    it.cost *= factor;
     if (it.server->entry.failure_domain != own_failure_domain_) {
       it.cost += options_.ms_per_cross_domain;
     }
@@ -185,26 +228,35 @@
   }
   const auto& best =
       *std::ranges::min_element(candidates, {}, &Candidate::cost);
-  return PlacementChoice{.server_id = best.server->entry.id,
-                         .address = best.server->entry.address,
-                         .expected_ms = best.cost,
-                         .is_home = session != nullptr && best.server == home,
-                         .candidates = static_cast<int>(candidates.size())};
+  return PlacementChoice{
+      .server_id = best.server->entry.id,
+      .address = best.server->entry.address,
+      .expected_ms = best.cost,
+      .is_home = session != nullptr && best.server == home,
+      .candidates = static_cast<int>(candidates.size()),
+      .busy_ms = best.busy_ms,
+      .time_factor = speed_.TimeFactor(best.server->entry.id),
+      .slowdown = Slowdown(*best.server, query.now)};
 }
 
 Placement::DispatchId Placement::Begin(const std::string& server_id,
                                        const ModelWork* work,
                                        Millis now) {
-  Dispatch dispatch{.server_id = server_id};
+  Dispatch dispatch{.server_id = server_id, .begun_at = now};
   const auto it = servers_.find(server_id);
   if (it != servers_.end()) {
     Server& server = it->second;
+    dispatch.server_start_ms = server.entry.start_time_ms;
+    dispatch.slowdown = Slowdown(server, now);
+    dispatch.ahead_ms = LoadMs(server, work != nullptr, now);
     ++server.local.requests;
     if (work != nullptr) {
       dispatch.prefill_tokens = std::clamp<Tokens>(
           work->prompt_tokens - CachedTokens(server, *work, now), 0,
           options_.max_peer_tokens);
       server.local.prefill_tokens += dispatch.prefill_tokens;
+      dispatch.prompt_ms = static_cast<double>(dispatch.prefill_tokens) /
+                           options_.prompt_tokens_per_ms;
       RecordCachedParts(server, *work, now);
     }
     NotifyLoadChange();
@@ -227,6 +279,75 @@
   }
 }
 
+void Placement::OnEvent(DispatchId dispatch_id, Millis now) {
+  const auto found = dispatches_.find(dispatch_id);
+  if (found == dispatches_.end()) {
+    return;
+  }
+  auto& dispatch = found->second;
+  if (dispatch.last_event_at) {
+    // Events that were read together say nothing about the pause between them.
+    const auto pause = now - *dispatch.last_event_at;
+    if (pause.count() > 0 && dispatch.pauses.size() < options_.max_pauses) {
+      dispatch.pauses.push_back(pause);
+    }
+    dispatch.last_event_at = now;
+    return;
+  }
+  dispatch.last_event_at = now;
+  dispatch.first_event_at = now;
+  const auto it = servers_.find(dispatch.server_id);
+  if (it == servers_.end() ||
+      it->second.entry.start_time_ms != dispatch.server_start_ms) {
+    return;
+  }
+  dispatch.running = it->second.has_report ? it->second.reported_running
+                                           : it->second.local.requests;
+  dispatch.response_slowdown = Slowdown(it->second, now);
+  AddPromptSample(dispatch, it->second, now);
+}
+
+void Placement::AddPromptSample(const Dispatch& dispatch,
+                                const Server& server,
+                                Millis now) {
+  // Where other work comes first or requests wait, the time says how busy the
+  // server is, not how fast.
+  const bool is_busy = dispatch.ahead_ms > dispatch.prompt_ms ||
+                       (server.has_report && server.reported_waiting > 0);
+  if (dispatch.prompt_ms < options_.min_prompt_sample_ms || is_busy) {
+    return;
+  }
+  const auto took = static_cast<double>((now - dispatch.begun_at).count());
+  const double slowdown = (dispatch.slowdown + dispatch.response_slowdown) / 2;
+  speed_.AddSample(dispatch.server_id, SpeedSample::kPrompt,
+                   took / ((dispatch.prompt_ms + dispatch.ahead_ms) * slowdown),
+                   now);
+}
+
+void Placement::AddPauseSample(const Dispatch& dispatch, Millis now) {
+  if (dispatch.pauses.size() < options_.min_pauses) {
+    return;
+  }
+  const bool is_in_spell =
+      now - dispatch.first_event_at < 2 * options_.max_slowdown_age &&
+      (dispatch.response_slowdown > options_.max_sample_slowdown ||
+       dispatch.response_slowdown < 1 / options_.max_sample_slowdown);
+  // Prompts of other requests prolong some of the pauses, so a low quantile
+  // shows the speed.
+  auto pauses = dispatch.pauses;
+  const auto quarter =
+      pauses.begin() + static_cast<std::ptrdiff_t>(pauses.size() / 4);
+  std::ranges::nth_element(pauses, quarter);
+  if (is_in_spell || *quarter < options_.min_pause_sample) {
+    return;
+  }
+  speed_.AddSample(
+      dispatch.server_id, SpeedSample::kPause,
+      static_cast<double>(quarter->count()) /
+          (options_.step_ms + options_.step_ms_per_running * dispatch.running),
+      now);
+}
+
 void Placement::End(DispatchId dispatch_id, DispatchResult result, Millis now) {
   OnFirstByte(dispatch_id, now);
   const auto found = dispatches_.find(dispatch_id);
@@ -234,10 +355,14 @@
     return;
   }
   const auto it = servers_.find(found->second.server_id);
+  const Dispatch dispatch = std::move(found->second);
   dispatches_.erase(found);
   if (it == servers_.end()) {
     return;
   }
+  if (it->second.entry.start_time_ms == dispatch.server_start_ms) {
+    AddPauseSample(dispatch, now);
+  }
   Server& server = it->second;
   server.local.requests = std::max(0, server.local.requests - 1);
   NotifyLoadChange();
@@ -263,18 +388,21 @@
 }
 
 void Placement::OnLoadReport(const std::string& server_id,
-                             int running,
-                             int waiting,
+                             const LoadReport& report,
                              Millis now) {
   const auto it = servers_.find(server_id);
   if (it == servers_.end()) {
     return;
   }
-  it->second.reported_running = running;
-  it->second.reported_waiting = waiting;
+  it->second.reported_running = report.running;
+  it->second.reported_waiting = report.waiting;
   it->second.in_flight_at_report = it->second.local.requests;
   it->second.reported_at = now;
   it->second.has_report = true;
+  it->second.slowdown_percent = std::clamp(
+      report.slowdown_percent, kMinSlowdownPercent, kMaxSlowdownPercent);
+  it->second.slowdown_at = now;
+  it->second.is_own_slowdown = true;
 }
 
 void Placement::NotifyLoadChange() const {
@@ -292,7 +420,14 @@
     if (server.local != server.sent || needs_resend) {
       server.sent = server.local;
       server.sent_at = now;
-      changed.push_back({id, server.local});
+      LocalLoad update{id, server.local};
+      const Millis age = now - server.slowdown_at;
+      if (server.is_own_slowdown && server.slowdown_percent != kUsualPercent &&
+          age <= options_.max_slowdown_age) {
+        update.slowdown_percent = server.slowdown_percent;
+        update.slowdown_age = age;
+      }
+      changed.push_back(std::move(update));
     }
   }
   return changed;
@@ -317,6 +452,21 @@
       now};
 }
 
+void Placement::OnPeerSlowdown(const std::string& server_id,
+                               int slowdown_percent,
+                               Millis age,
+                               Millis now) {
+  const auto it = servers_.find(server_id);
+  const Millis reported_at = now - std::max(age, Millis{0});
+  if (it == servers_.end() || reported_at <= it->second.slowdown_at) {
+    return;
+  }
+  it->second.slowdown_percent =
+      std::clamp(slowdown_percent, kMinSlowdownPercent, kMaxSlowdownPercent);
+  it->second.slowdown_at = reported_at;
+  it->second.is_own_slowdown = false;
+}
+
 bool Placement::IsUsable(const Server& server) const {
   return !server.entry.is_draining &&
          !evacuated_domains_.contains(server.entry.failure_domain);
@@ -333,7 +483,9 @@
     view.push_back({.entry = server.entry,
                     .in_flight = server.local.requests,
                     .load_ms = LoadMs(server, true, now),
-                    .is_avoided = now < server.avoid_until});
+                    .is_avoided = now < server.avoid_until,
+                    .time_factor = speed_.TimeFactor(id),
+                    .slowdown = Slowdown(server, now)});
   }
   return view;
 }
--- a/core/load/placement.h
+++ b/core/load/placement.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "core/backend_entry.h"
+#include "core/load/server_speed.h"
 #include "core/model_work.h"
 #include "src/types.h"
 
@@ -44,6 +45,31 @@
   double ms_per_waiting = 60;
   // Cost of one request to a service without a model engine.
   double ms_per_plain_request = 30;
+  // Duration of a decoding step, and what each running request adds. Pauses
+  // between events are compared with it; a constant factor cancels. The engines
+  // of the users take 2.6 and 5.1 ms; a value between them keeps the error
+  // small when servers of one service run different numbers of requests.
+  double step_ms = 3.5;
+  double step_ms_per_running = 0.12;
+  // A sample of the prompt time is taken only if the prompt takes this long at
+  // least, and longer than the work ahead of it.
+  double min_prompt_sample_ms = 20;
+  // A sample of the pauses needs this many of them, and pauses that are long
+  // enough to be measured in whole milliseconds.
+  std::size_t min_pauses = 4;
+  std::size_t max_pauses = 32;
+  Millis min_pause_sample{5};
+  // Time after which half of a reported slowdown is assumed to be over: spells
+  // last 600 ms, so one that was seen at a random moment lasts 300 ms more on
+  // average.
+  Millis slowdown_half_life{300};
+  // Age up to which a server's slowdown is passed on to peers.
+  Millis max_slowdown_age{600};
+  // Slowdown above which samples of the speed are not taken from streams that
+  // may lie mostly in the spell.
+  double max_sample_slowdown = 1.15;
+  // Learned speeds are used and exchanged.
+  ServerSpeedOptions speed;
   // Age at which the weight of a load report is halved.
   Millis report_half_life{1000};
   // Lifetime of a peer's load report; peers repeat their reports every second.
@@ -84,6 +110,21 @@
   bool is_home = false;
   // Number of servers that were eligible.
   int candidates = 0;
+  // Delay that the load of the server causes at its usual speed, and how much
+  // longer work takes on it: as learned, and as it reported lately. They tell a
+  // busy server from a slow one.
+  double busy_ms = 0;
+  double time_factor = 1;
+  double slowdown = 1;
+};
+
+// What a server reported of itself.
+struct LoadReport {
+  int running = 0;
+  int waiting = 0;
+  // How long work takes on the server at this moment, in percent of the usual
+  // time.
+  int slowdown_percent = 100;
 };
 
 // Result of a dispatch, as far as it concerns the health of the server.
@@ -111,6 +152,10 @@
 struct LocalLoad {
   std::string server_id;
   InFlightLoad load;
+  // Slowdown that the server reported to this host, if it is not the usual
+  // speed, and the age of that report; 0 if there is none.
+  int slowdown_percent = 0;
+  Millis slowdown_age{0};
   auto operator<=>(const LocalLoad&) const = default;
 };
 
@@ -122,6 +167,8 @@
   // Expected delay that the current load causes, in milliseconds.
   double load_ms = 0;
   bool is_avoided = false;
+  double time_factor = 1;
+  double slowdown = 1;
 };
 
 class Placement {
@@ -142,11 +189,12 @@
                    Millis now);
   // The server has begun to respond, so it has processed the prompt.
   void OnFirstByte(DispatchId dispatch_id, Millis now);
+  // An event of the response stream has arrived.
+  void OnEvent(DispatchId dispatch_id, Millis now);
   void End(DispatchId dispatch_id, DispatchResult result, Millis now);
   // Load that the server itself reported.
   void OnLoadReport(const std::string& server_id,
-                    int running,
-                    int waiting,
+                    const LoadReport& report,
                     Millis now);
 
   // Sets a hook that is called after each change of this host's in-flight load.
@@ -161,6 +209,13 @@
                   const std::string& server_id,
                   const InFlightLoad& load,
                   Millis now);
+  // Slowdown that a server reported to a peer `age` ago.
+  void OnPeerSlowdown(const std::string& server_id,
+                      int slowdown_percent,
+                      Millis age,
+                      Millis now);
+  // Learned speeds of the servers.
+  ServerSpeed& speed() { return speed_; }
 
   // Sets a hook that Choose asks for each candidate; a server for which it
   // returns false is not chosen.
@@ -203,6 +258,11 @@
     Millis avoidance{0};
     Millis avoid_until{0};
     Millis warmup_until{0};
+    // Latest known slowdown, and when the server reported it.
+    int slowdown_percent = 100;
+    Millis slowdown_at{0};
+    // The slowdown was reported to this host, not to a peer.
+    bool is_own_slowdown = false;
     // Ids of prompt parts that this host sent to the server, least recently
     // used first.
     std::list<std::string> lru_parts;
@@ -211,12 +271,34 @@
   struct Dispatch {
     std::string server_id;
     Tokens prefill_tokens = 0;
+    Millis begun_at{0};
+    // Start time of the server; its samples say nothing about a later one.
+    std::optional<std::int64_t> server_start_ms;
+    // Time that the prompt takes at the usual speed, that of the work ahead of
+    // it, and the slowdown at the dispatch.
+    double prompt_ms = 0;
+    double ahead_ms = 0;
+    double slowdown = 1;
+    // Running requests at the server and slowdown when the response began.
+    double running = 0;
+    double response_slowdown = 1;
+    std::optional<Millis> last_event_at;
+    Millis first_event_at{0};
+    std::vector<Millis> pauses;
   };
 
   // False if the server is draining or its failure domain is evacuated.
   bool IsUsable(const Server& server) const;
   InFlightLoad SumPeerLoads(const Server& server, Millis now) const;
   double LoadMs(const Server& server, bool is_model, Millis now) const;
+  // Momentary slowdown of the server, as a factor.
+  double Slowdown(const Server& server, Millis now) const;
+  // How much longer than usual work takes on the server.
+  double TimeFactor(const Server& server, Millis now) const;
+  void AddPromptSample(const Dispatch& dispatch,
+                       const Server& server,
+                       Millis now);
+  void AddPauseSample(const Dispatch& dispatch, Millis now);
   void NotifyLoadChange() const;
   Tokens CachedTokens(const Server& server,
                       const ModelWork& work,
@@ -226,6 +308,7 @@
   const PlacementOptions options_;
   const std::string own_failure_domain_;
   std::map<std::string, Server> servers_;
+  ServerSpeed speed_;
   std::unordered_map<DispatchId, Dispatch> dispatches_;
   DispatchId last_dispatch_id_ = 0;
   std::function<void()> on_load_change_;
--- a/src/log.cc
+++ b/src/log.cc
@@ -125,6 +125,7 @@
       {LogEvent::kServerCrashed, LogLevel::kWarning, "server_crashed"},
       {LogEvent::kPromptQuarantined, LogLevel::kError, "prompt_quarantined"},
       {LogEvent::kPromptReleased, LogLevel::kWarning, "prompt_released"},
+      {LogEvent::kServerSpeedChanged, LogLevel::kInfo, "server_speed_changed"},
   };
   return kCatalogue;
 }
--- a/src/log.h
+++ b/src/log.h
@@ -84,6 +84,7 @@
   kServerCrashed = 708,
   kPromptQuarantined = 709,
   kPromptReleased = 710,
+  kServerSpeedChanged = 730,
 };
 
 struct LogEventInfo {
--- a/src/peer_generated.h
+++ b/src/peer_generated.h
@@ -66,6 +66,9 @@
 struct ServerLoad;
 struct ServerLoadBuilder;
 
+struct ServerSpeed;
+struct ServerSpeedBuilder;
+
 struct LoadUpdate;
 struct LoadUpdateBuilder;
 
@@ -1394,7 +1397,9 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_SERVER = 4,
     VT_REQUESTS = 6,
-    VT_UNREAD_TOKENS = 8
+    VT_UNREAD_TOKENS = 8,
+    VT_SLOWDOWN_PERCENT = 10,
+    VT_SLOWDOWN_AGE_MS = 12
   };
   const flatbuffers::String *server() const {
     return GetPointer<const flatbuffers::String *>(VT_SERVER);
@@ -1405,12 +1410,20 @@
   uint64_t unread_tokens() const {
     return GetField<uint64_t>(VT_UNREAD_TOKENS, 0);
   }
+  uint32_t slowdown_percent() const {
+    return GetField<uint32_t>(VT_SLOWDOWN_PERCENT, 0);
+  }
+  uint32_t slowdown_age_ms() const {
+    return GetField<uint32_t>(VT_SLOWDOWN_AGE_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_SERVER) &&
            verifier.VerifyString(server()) &&
            VerifyField<uint32_t>(verifier, VT_REQUESTS, 4) &&
            VerifyField<uint64_t>(verifier, VT_UNREAD_TOKENS, 8) &&
+           VerifyField<uint32_t>(verifier, VT_SLOWDOWN_PERCENT, 4) &&
+           VerifyField<uint32_t>(verifier, VT_SLOWDOWN_AGE_MS, 4) &&
            verifier.EndTable();
   }
 };
@@ -1428,6 +1441,12 @@
   void add_unread_tokens(uint64_t unread_tokens) {
     fbb_.AddElement<uint64_t>(ServerLoad::VT_UNREAD_TOKENS, unread_tokens, 0);
   }
+  void add_slowdown_percent(uint32_t slowdown_percent) {
+    fbb_.AddElement<uint32_t>(ServerLoad::VT_SLOWDOWN_PERCENT, slowdown_percent, 0);
+  }
+  void add_slowdown_age_ms(uint32_t slowdown_age_ms) {
+    fbb_.AddElement<uint32_t>(ServerLoad::VT_SLOWDOWN_AGE_MS, slowdown_age_ms, 0);
+  }
   explicit ServerLoadBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1444,9 +1463,13 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> server = 0,
     uint32_t requests = 0,
-    uint64_t unread_tokens = 0) {
+    uint64_t unread_tokens = 0,
+    uint32_t slowdown_percent = 0,
+    uint32_t slowdown_age_ms = 0) {
   ServerLoadBuilder builder_(_fbb);
   builder_.add_unread_tokens(unread_tokens);
+  builder_.add_slowdown_age_ms(slowdown_age_ms);
+  builder_.add_slowdown_percent(slowdown_percent);
   builder_.add_requests(requests);
   builder_.add_server(server);
   return builder_.Finish();
@@ -1456,28 +1479,151 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *server = nullptr,
     uint32_t requests = 0,
-    uint64_t unread_tokens = 0) {
+    uint64_t unread_tokens = 0,
+    uint32_t slowdown_percent = 0,
+    uint32_t slowdown_age_ms = 0) {
   auto server__ = server ? _fbb.CreateString(server) : 0;
   return crocuslatch::wire::CreateServerLoad(
       _fbb,
       server__,
       requests,
-      unread_tokens);
+      unread_tokens,
+      slowdown_percent,
+      slowdown_age_ms);
+}
+
+struct ServerSpeed FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ServerSpeedBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVER = 4,
+    VT_STARTED_MS = 6,
+    VT_PROMPT_LOG_MILLI = 8,
+    VT_PROMPT_WEIGHT_CENTI = 10,
+    VT_PAUSE_LOG_MILLI = 12,
+    VT_PAUSE_WEIGHT_CENTI = 14
+  };
+  const flatbuffers::String *server() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVER);
+  }
+  int64_t started_ms() const {
+    return GetField<int64_t>(VT_STARTED_MS, 0);
+  }
+  int32_t prompt_log_milli() const {
+    return GetField<int32_t>(VT_PROMPT_LOG_MILLI, 0);
+  }
+  uint32_t prompt_weight_centi() const {
+    return GetField<uint32_t>(VT_PROMPT_WEIGHT_CENTI, 0);
+  }
+  int32_t pause_log_milli() const {
+    return GetField<int32_t>(VT_PAUSE_LOG_MILLI, 0);
+  }
+  uint32_t pause_weight_centi() const {
+    return GetField<uint32_t>(VT_PAUSE_WEIGHT_CENTI, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_SERVER) &&
+           verifier.VerifyString(server()) &&
+           VerifyField<int64_t>(verifier, VT_STARTED_MS, 8) &&
+           VerifyField<int32_t>(verifier, VT_PROMPT_LOG_MILLI, 4) &&
+           VerifyField<uint32_t>(verifier, VT_PROMPT_WEIGHT_CENTI, 4) &&
+           VerifyField<int32_t>(verifier, VT_PAUSE_LOG_MILLI, 4) &&
+           VerifyField<uint32_t>(verifier, VT_PAUSE_WEIGHT_CENTI, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct ServerSpeedBuilder {
+  typedef ServerSpeed Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_server(flatbuffers::Offset<flatbuffers::String> server) {
+    fbb_.AddOffset(ServerSpeed::VT_SERVER, server);
+  }
+  void add_started_ms(int64_t started_ms) {
+    fbb_.AddElement<int64_t>(ServerSpeed::VT_STARTED_MS, started_ms, 0);
+  }
+  void add_prompt_log_milli(int32_t prompt_log_milli) {
+    fbb_.AddElement<int32_t>(ServerSpeed::VT_PROMPT_LOG_MILLI, prompt_log_milli, 0);
+  }
+  void add_prompt_weight_centi(uint32_t prompt_weight_centi) {
+    fbb_.AddElement<uint32_t>(ServerSpeed::VT_PROMPT_WEIGHT_CENTI, prompt_weight_centi, 0);
+  }
+  void add_pause_log_milli(int32_t pause_log_milli) {
+    fbb_.AddElement<int32_t>(ServerSpeed::VT_PAUSE_LOG_MILLI, pause_log_milli, 0);
+  }
+  void add_pause_weight_centi(uint32_t pause_weight_centi) {
+    fbb_.AddElement<uint32_t>(ServerSpeed::VT_PAUSE_WEIGHT_CENTI, pause_weight_centi, 0);
+  }
+  explicit ServerSpeedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ServerSpeed> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ServerSpeed>(end);
+    fbb_.Required(o, ServerSpeed::VT_SERVER);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ServerSpeed> CreateServerSpeed(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> server = 0,
+    int64_t started_ms = 0,
+    int32_t prompt_log_milli = 0,
+    uint32_t prompt_weight_centi = 0,
+    int32_t pause_log_milli = 0,
+    uint32_t pause_weight_centi = 0) {
+  ServerSpeedBuilder builder_(_fbb);
+  builder_.add_started_ms(started_ms);
+  builder_.add_pause_weight_centi(pause_weight_centi);
+  builder_.add_pause_log_milli(pause_log_milli);
+  builder_.add_prompt_weight_centi(prompt_weight_centi);
+  builder_.add_prompt_log_milli(prompt_log_milli);
+  builder_.add_server(server);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<ServerSpeed> CreateServerSpeedDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *server = nullptr,
+    int64_t started_ms = 0,
+    int32_t prompt_log_milli = 0,
+    uint32_t prompt_weight_centi = 0,
+    int32_t pause_log_milli = 0,
+    uint32_t pause_weight_centi = 0) {
+  auto server__ = server ? _fbb.CreateString(server) : 0;
+  return crocuslatch::wire::CreateServerSpeed(
+      _fbb,
+      server__,
+      started_ms,
+      prompt_log_milli,
+      prompt_weight_centi,
+      pause_log_milli,
+      pause_weight_centi);
 }
 
 struct LoadUpdate FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef LoadUpdateBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_SERVERS = 4
+    VT_SERVERS = 4,
+    VT_SPEEDS = 6
   };
   const flatbuffers::Vector<flatbuffers::Offset<crocuslatch::wire::ServerLoad>> *servers() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crocuslatch::wire::ServerLoad>> *>(VT_SERVERS);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<crocuslatch::wire::ServerSpeed>> *speeds() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crocuslatch::wire::ServerSpeed>> *>(VT_SPEEDS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SERVERS) &&
            verifier.VerifyVector(servers()) &&
            verifier.VerifyVectorOfTables(servers()) &&
+           VerifyOffset(verifier, VT_SPEEDS) &&
+           verifier.VerifyVector(speeds()) &&
+           verifier.VerifyVectorOfTables(speeds()) &&
            verifier.EndTable();
   }
 };
@@ -1489,6 +1635,9 @@
   void add_servers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocuslatch::wire::ServerLoad>>> servers) {
     fbb_.AddOffset(LoadUpdate::VT_SERVERS, servers);
   }
+  void add_speeds(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocuslatch::wire::ServerSpeed>>> speeds) {
+    fbb_.AddOffset(LoadUpdate::VT_SPEEDS, speeds);
+  }
   explicit LoadUpdateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1502,19 +1651,24 @@
 
 inline flatbuffers::Offset<LoadUpdate> CreateLoadUpdate(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocuslatch::wire::ServerLoad>>> servers = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocuslatch::wire::ServerLoad>>> servers = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocuslatch::wire::ServerSpeed>>> speeds = 0) {
   LoadUpdateBuilder builder_(_fbb);
+  builder_.add_speeds(speeds);
   builder_.add_servers(servers);
   return builder_.Finish();
 }
 
 inline flatbuffers::Offset<LoadUpdate> CreateLoadUpdateDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const std::vector<flatbuffers::Offset<crocuslatch::wire::ServerLoad>> *servers = nullptr) {
+    const std::vector<flatbuffers::Offset<crocuslatch::wire::ServerLoad>> *servers = nullptr,
+    const std::vector<flatbuffers::Offset<crocuslatch::wire::ServerSpeed>> *speeds = nullptr) {
   auto servers__ = servers ? _fbb.CreateVector<flatbuffers::Offset<crocuslatch::wire::ServerLoad>>(*servers) : 0;
+  auto speeds__ = speeds ? _fbb.CreateVector<flatbuffers::Offset<crocuslatch::wire::ServerSpeed>>(*speeds) : 0;
   return crocuslatch::wire::CreateLoadUpdate(
       _fbb,
-      servers__);
+      servers__,
+      speeds__);
 }
 
 struct ErrorReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/tests/correctness/load_broadcast_test.cc
+++ b/tests/correctness/load_broadcast_test.cc
@@ -12,11 +12,14 @@
 namespace crocuslatch {
 namespace {
 
-// A host with one engine in its placement.
+// A host with three engines in its placement.
 struct Host : PeerHost {
   Host(std::string own, PeerAddresses* table)
       : PeerHost(std::move(own), table) {
-    placement.SetServers({{.id = "e0", .service = "model"}}, Millis{0});
+    placement.SetServers({{.id = "e0", .service = "model"},
+                          {.id = "e1", .service = "model"},
+                          {.id = "e2", .service = "model"}},
+                         Millis{0});
     sharing = std::make_unique<LoadBroadcast>(
         LoadBroadcastOptions{.resend_period = Millis{200}}, loop, network.get(),
         &placement, LoadBroadcastHooks{name, [this] { return Others(); }});
@@ -27,7 +30,7 @@
     placement.OnLoadChange([this] { sharing->OnChange(); });
   }
 
-  Placement placement{{}, "a"};
+  Placement placement{{.speed = {.resend_period = Millis{200}}}, "a"};
   std::unique_ptr<LoadBroadcast> sharing;
 };
 
@@ -49,6 +52,34 @@
   CHECK(RunUntil([&] { return load() == 0; }));
 }
 
+// Guards against figures that are lost or scaled between two hosts.
+TEST_CASE("a host receives another host's slowdowns and measured speeds") {
+  PeerAddresses addresses;
+  Host a("a", &addresses);
+  Host b("b", &addresses);
+  a.placement.OnLoadReport("e0", {1, 0, 250}, a.loop.now());
+  const ModelWork work{.prompt_tokens = 8'000};
+  a.placement.Begin("e0", &work, a.loop.now());
+  for (int i = 0; i < 16; ++i) {
+    for (const auto* id : {"e0", "e1", "e2"}) {
+      a.placement.speed().AddSample(id, SpeedSample::kPause,
+                                    id == std::string("e0") ? 2 : 1,
+                                    a.loop.now());
+    }
+  }
+  // The first message opens the connection and may be lost; the load is sent
+  // again while the slowdown is fresh.
+  CHECK(RunUntil([&] {
+    a.placement.OnLoadReport("e0", {1, 0, 250}, a.loop.now());
+    return b.placement.View(b.loop.now()).front().slowdown > 1.5;
+  }));
+  CHECK(RunUntil([&] {
+    b.placement.speed().Refresh(b.loop.now());
+    return b.placement.speed().TimeFactor("e0") > 1.5 &&
+           b.placement.speed().TimeFactor("e1") == 1;
+  }));
+}
+
 // Guards against traffic that grows with the fleet, and against hosts that
 // receive no loads.
 TEST_CASE(
