Count engine memory in placement and split expected time from cost

The end of a request at an earlier incarnation lowered the load of the new one. Change: prompts and outputs of requests in flight are counted for each server (shared parts once) and exchanged as held_tokens; a server whose kv_capacity would be exceeded is left out, or costs more if no other has room. Services without a stated capacity are not affected. expected_ms is a time, cost is what the choice minimizes. Dispatches are bound to a server's incarnation. Not measured on a deployment yet.

--- a/app/front.cc
+++ b/app/front.cc
@@ -785,6 +785,13 @@
 
   void OnDesiredState(const RoutingTablePointer& table) {
     caller_server->SetLimits(MakeLimits(table->state().limits));
+    std::map<std::string, EngineSpec> engines;
+    for (const auto& it : table->state().services) {
+      if (it.engine) {
+        engines[it.name] = *it.engine;
+      }
+    }
+    placement.SetEngines(std::move(engines));
   }
 
   // True if the store has not answered for a while. Other hosts may reach it,
--- a/app/load_broadcast.cc
+++ b/app/load_broadcast.cc
@@ -37,7 +37,8 @@
           static_cast<std::uint32_t>(it.load.requests),
           static_cast<std::uint64_t>(it.load.prefill_tokens),
           static_cast<std::uint32_t>(it.slowdown_percent),
-          static_cast<std::uint32_t>(it.slowdown_age.count())));
+          static_cast<std::uint32_t>(it.slowdown_age.count()),
+          static_cast<std::uint64_t>(it.load.held_tokens)));
     }
     std::vector<flatbuffers::Offset<wire::ServerSpeed>> packed_speeds;
     packed_speeds.reserve(speeds.size());
@@ -134,7 +135,9 @@
           {.requests = static_cast<int>(std::min<std::uint32_t>(
                it->requests(), std::numeric_limits<int>::max())),
            .prefill_tokens = static_cast<Tokens>(
-               std::min<std::uint64_t>(it->unread_tokens(), kMaxTokens))},
+               std::min<std::uint64_t>(it->unread_tokens(), kMaxTokens)),
+           .held_tokens = static_cast<Tokens>(
+               std::min<std::uint64_t>(it->held_tokens(), kMaxTokens))},
           core_->loop.now());
       if (it->slowdown_percent() > 0) {
         core_->placement->OnPeerSlowdown(
--- a/core/load/placement.cc
+++ b/core/load/placement.cc
@@ -24,6 +24,14 @@
   return weight / -std::log(point);
 }
 
+// Output that the request is expected to have; all that it may have without an
+// estimate.
+Tokens ExpectedOutput(const ModelWork& work) {
+  return work.expected_output_tokens > 0
+             ? std::min(work.expected_output_tokens, work.max_output_tokens)
+             : work.max_output_tokens;
+}
+
 // Limits of the slowdown that a server may report; the codec has the same.
 constexpr int kMinSlowdownPercent = 20;
 constexpr int kMaxSlowdownPercent = 1000;
@@ -62,6 +70,8 @@
         found->second.entry.service == it.service;
     if (is_same) {
       server = std::move(found->second);
+    } else {
+      server.generation = ++last_generation_;
     }
     server.entry = it;
     server.warmup_until = now + it.warmup_time;
@@ -77,15 +87,16 @@
     if (now - peer.received_at <= options_.peer_load_ttl) {
       sum.requests += peer.load.requests;
       sum.prefill_tokens += peer.load.prefill_tokens;
+      sum.held_tokens += peer.load.held_tokens;
     }
   }
   return sum;
 }
 
 double Placement::LoadMs(const Server& server,
+                         const InFlightLoad& peers,
                          bool is_model,
                          Millis now) const {
-  const auto peers = SumPeerLoads(server, now);
   double running = server.local.requests + peers.requests;
   double waiting = 0;
   const bool has_peer_loads =
@@ -141,6 +152,65 @@
   return cached;
 }
 
+const EngineSpec* Placement::FindEngine(const std::string& service) const {
+  const auto it = engines_.find(service);
+  return it == engines_.end() || it->second.kv_capacity <= 0 ? nullptr
+                                                             : &it->second;
+}
+
+Tokens Placement::NeededTokens(const Server& server,
+                               const ModelWork& work) const {
+  Tokens needed = AddTokens(work.prompt_tokens, ExpectedOutput(work));
+  for (std::size_t i = 0; i + 1 < work.parts.size(); ++i) {
+    if (server.held_parts.contains(work.parts[i].id)) {
+      needed -= work.parts[i].tokens;
+    }
+  }
+  return std::clamp<Tokens>(needed, 0, options_.max_peer_tokens);
+}
+
+void Placement::HoldTokens(Server& server,
+                           const ModelWork& work,
+                           Dispatch& dispatch) {
+  if (FindEngine(server.entry.service) == nullptr) {
+    return;
+  }
+  const Tokens shared = SharedTokens(work);
+  dispatch.held_output = ExpectedOutput(work);
+  dispatch.held_tokens =
+      std::clamp<Tokens>(work.prompt_tokens - shared + dispatch.held_output, 0,
+                         options_.max_peer_tokens);
+  server.local.held_tokens += dispatch.held_tokens;
+  for (std::size_t i = 0; i + 1 < work.parts.size(); ++i) {
+    const auto& part = work.parts[i];
+    auto& held = server.held_parts[part.id];
+    if (held.requests++ == 0) {
+      held.tokens =
+          std::clamp<Tokens>(part.tokens, 0, options_.max_peer_tokens);
+      server.local.held_tokens += held.tokens;
+    }
+    dispatch.held_parts.push_back(part.id);
+  }
+}
+
+void Placement::ReleaseTokens(Server& server, const Dispatch& dispatch) {
+  server.local.held_tokens -= dispatch.held_tokens;
+  for (const auto& it : dispatch.held_parts) {
+    const auto found = server.held_parts.find(it);
+    if (found != server.held_parts.end() && --found->second.requests == 0) {
+      server.local.held_tokens -= found->second.tokens;
+      server.held_parts.erase(found);
+    }
+  }
+}
+
+Placement::Server* Placement::FindServer(const Dispatch& dispatch) {
+  const auto it = servers_.find(dispatch.server_id);
+  return it == servers_.end() || it->second.generation != dispatch.generation
+             ? nullptr
+             : &it->second;
+}
+
 void Placement::RecordCachedParts(Server& server,
                                   const ModelWork& work,
                                   Millis now) {
@@ -169,6 +239,8 @@
     double cost = 0;
     double rank = 0;
     double busy_ms = 0;
+    double expected_ms = 0;
+    Tokens excess_tokens = 0;
   };
   speed_.Refresh(query.now);
   std::vector<Candidate> candidates;
@@ -195,11 +267,15 @@
   if (candidates.empty()) {
     return std::nullopt;
   }
+  const EngineSpec* engine =
+      is_model ? FindEngine(std::string(query.service)) : nullptr;
   const auto home =
       std::ranges::max_element(candidates, {}, &Candidate::rank)->server;
   for (auto& it : candidates) {
-    it.busy_ms = LoadMs(*it.server, is_model, query.now);
+    const auto peers = SumPeerLoads(*it.server, query.now);
+    it.busy_ms = LoadMs(*it.server, peers, is_model, query.now);
     it.cost = it.busy_ms;
+    it.expected_ms = it.busy_ms;
     const double factor = TimeFactor(*it.server, query.now);
     if (is_model) {
       Tokens cached = CachedTokens(*it.server, *query.work, query.now);
@@ -214,26 +290,49 @@
       it.cost += (static_cast<double>(unshared) +
                   options_.recompute_factor * static_cast<double>(recomputed)) /
                  options_.prompt_tokens_per_ms;
+      it.expected_ms += static_cast<double>(unshared + recomputed) /
+                        options_.prompt_tokens_per_ms;
+      if (engine != nullptr) {
+        it.excess_tokens = std::max<Tokens>(
+            0, it.server->local.held_tokens + peers.held_tokens +
+                   NeededTokens(*it.server, *query.work) - engine->kv_capacity);
+      }
+      // The engine preempts requests to make room and reads their prompts
+      // again.
+      it.cost += options_.recompute_factor *
+                 static_cast<double>(it.excess_tokens) /
+                 options_.prompt_tokens_per_ms;
     } else if (factor != 1) {
       // The request's own work is the same on even servers and left out there.
       it.cost += options_.ms_per_plain_request * (1 - 1 / factor);
     }
     it.cost *= factor;
+    it.expected_ms *= factor;
     if (it.server->entry.failure_domain != own_failure_domain_) {
       it.cost += options_.ms_per_cross_domain;
     }
     if (query.now < it.server->warmup_until) {
       it.cost *= 2;
+      it.expected_ms *= 2;
     }
   }
+  const auto has_room = [](const Candidate& it) {
+    return it.excess_tokens == 0;
+  };
+  const auto eligible = static_cast<int>(candidates.size());
+  if (std::ranges::any_of(candidates, has_room)) {
+    std::erase_if(candidates, std::not_fn(has_room));
+  }
   const auto& best =
       *std::ranges::min_element(candidates, {}, &Candidate::cost);
   return PlacementChoice{
       .server_id = best.server->entry.id,
       .address = best.server->entry.address,
-      .expected_ms = best.cost,
+      .expected_ms = best.expected_ms,
+      .cost = best.cost,
+      .excess_tokens = best.excess_tokens,
       .is_home = session != nullptr && best.server == home,
-      .candidates = static_cast<int>(candidates.size()),
+      .candidates = eligible,
       .busy_ms = best.busy_ms,
       .time_factor = speed_.TimeFactor(best.server->entry.id),
       .slowdown = Slowdown(*best.server, query.now)};
@@ -246,9 +345,10 @@
   const auto it = servers_.find(server_id);
   if (it != servers_.end()) {
     Server& server = it->second;
-    dispatch.server_start_ms = server.entry.start_time_ms;
+    dispatch.generation = server.generation;
     dispatch.slowdown = Slowdown(server, now);
-    dispatch.ahead_ms = LoadMs(server, work != nullptr, now);
+    dispatch.ahead_ms =
+        LoadMs(server, SumPeerLoads(server, now), work != nullptr, now);
     ++server.local.requests;
     if (work != nullptr) {
       dispatch.prefill_tokens = std::clamp<Tokens>(
@@ -258,6 +358,7 @@
       dispatch.prompt_ms = static_cast<double>(dispatch.prefill_tokens) /
                            options_.prompt_tokens_per_ms;
       RecordCachedParts(server, *work, now);
+      HoldTokens(server, *work, dispatch);
     }
     NotifyLoadChange();
   }
@@ -270,10 +371,9 @@
   if (found == dispatches_.end()) {
     return;
   }
-  const auto it = servers_.find(found->second.server_id);
   const auto tokens = std::exchange(found->second.prefill_tokens, 0);
-  if (it != servers_.end()) {
-    auto& pending = it->second.local.prefill_tokens;
+  if (auto* server = FindServer(found->second)) {
+    auto& pending = server->local.prefill_tokens;
     pending = std::max<Tokens>(0, pending - tokens);
     NotifyLoadChange();
   }
@@ -285,6 +385,11 @@
     return;
   }
   auto& dispatch = found->second;
+  auto* server = FindServer(dispatch);
+  ++dispatch.events;
+  if (server != nullptr) {
+    HoldProducedTokens(*server, dispatch);
+  }
   if (dispatch.last_event_at) {
     // Events that were read together say nothing about the pause between them.
     const auto pause = now - *dispatch.last_event_at;
@@ -296,15 +401,25 @@
   }
   dispatch.last_event_at = now;
   dispatch.first_event_at = now;
-  const auto it = servers_.find(dispatch.server_id);
-  if (it == servers_.end() ||
-      it->second.entry.start_time_ms != dispatch.server_start_ms) {
+  if (server == nullptr) {
     return;
   }
-  dispatch.running = it->second.has_report ? it->second.reported_running
-                                           : it->second.local.requests;
-  dispatch.response_slowdown = Slowdown(it->second, now);
-  AddPromptSample(dispatch, it->second, now);
+  dispatch.running =
+      server->has_report ? server->reported_running : server->local.requests;
+  dispatch.response_slowdown = Slowdown(*server, now);
+  AddPromptSample(dispatch, *server, now);
+}
+
+void Placement::HoldProducedTokens(Server& server, Dispatch& dispatch) {
+  // Steps of the growth, so that not each event changes what peers are told.
+  constexpr Tokens kGrowth = 256;
+  const auto* engine = FindEngine(server.entry.service);
+  if (engine != nullptr && dispatch.held_tokens > 0 &&
+      dispatch.events * engine->tokens_per_event > dispatch.held_output) {
+    dispatch.held_output += kGrowth;
+    dispatch.held_tokens += kGrowth;
+    server.local.held_tokens += kGrowth;
+  }
 }
 
 void Placement::AddPromptSample(const Dispatch& dispatch,
@@ -354,16 +469,15 @@
   if (found == dispatches_.end()) {
     return;
   }
-  const auto it = servers_.find(found->second.server_id);
   const Dispatch dispatch = std::move(found->second);
   dispatches_.erase(found);
-  if (it == servers_.end()) {
+  auto* found_server = FindServer(dispatch);
+  if (found_server == nullptr) {
     return;
   }
-  if (it->second.entry.start_time_ms == dispatch.server_start_ms) {
-    AddPauseSample(dispatch, now);
-  }
-  Server& server = it->second;
+  Server& server = *found_server;
+  AddPauseSample(dispatch, now);
+  ReleaseTokens(server, dispatch);
   server.local.requests = std::max(0, server.local.requests - 1);
   NotifyLoadChange();
   if (result == DispatchResult::kServed) {
@@ -448,7 +562,8 @@
   }
   it->second.peers[host] = {
       {std::clamp(load.requests, 0, options_.max_peer_requests),
-       std::clamp<Tokens>(load.prefill_tokens, 0, options_.max_peer_tokens)},
+       std::clamp<Tokens>(load.prefill_tokens, 0, options_.max_peer_tokens),
+       std::clamp<Tokens>(load.held_tokens, 0, options_.max_peer_tokens)},
       now};
 }
 
@@ -480,12 +595,15 @@
 std::vector<ServerView> Placement::View(Millis now) const {
   std::vector<ServerView> view;
   for (const auto& [id, server] : servers_) {
-    view.push_back({.entry = server.entry,
-                    .in_flight = server.local.requests,
-                    .load_ms = LoadMs(server, true, now),
-                    .is_avoided = now < server.avoid_until,
-                    .time_factor = speed_.TimeFactor(id),
-                    .slowdown = Slowdown(server, now)});
+    const auto peers = SumPeerLoads(server, now);
+    view.push_back(
+        {.entry = server.entry,
+         .in_flight = server.local.requests,
+         .load_ms = LoadMs(server, peers, true, now),
+         .is_avoided = now < server.avoid_until,
+         .time_factor = speed_.TimeFactor(id),
+         .slowdown = Slowdown(server, now),
+         .held_tokens = server.local.held_tokens + peers.held_tokens});
   }
   return view;
 }
--- a/core/load/placement.h
+++ b/core/load/placement.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "core/backend_entry.h"
+#include "core/desired_state.h"
 #include "core/load/server_speed.h"
 #include "core/model_work.h"
 #include "src/types.h"
@@ -104,8 +105,13 @@
 struct PlacementChoice {
   std::string server_id;
   std::string address;
-  // Expected time to the first token or the response, in milliseconds.
+  // Expected time to the first event, in milliseconds; without a model engine,
+  // the delay by other requests.
   double expected_ms = 0;
+  // What the choice minimizes: the expected time plus the cost for others.
+  double cost = 0;
+  // Engine memory that the request would need beyond what the server has.
+  Tokens excess_tokens = 0;
   // The server is the home server of the request's session.
   bool is_home = false;
   // Number of servers that were eligible.
@@ -145,6 +151,10 @@
   int requests = 0;
   // Prompt tokens of the requests that have not begun to respond.
   Tokens prefill_tokens = 0;
+  // Engine memory that the requests need for their prompts and outputs. Parts
+  // that several requests share are counted once. 0 if the memory of the
+  // service's engines is unknown.
+  Tokens held_tokens = 0;
   auto operator<=>(const InFlightLoad&) const = default;
 };
 
@@ -169,6 +179,8 @@
   bool is_avoided = false;
   double time_factor = 1;
   double slowdown = 1;
+  // Engine memory that is known to be needed by requests of all hosts.
+  Tokens held_tokens = 0;
 };
 
 class Placement {
@@ -179,6 +191,11 @@
   // servers is dropped.
   void SetServers(const std::vector<BackendEntry>& entries, Millis now);
 
+  // Sets the capacity of the model engines of each service.
+  void SetEngines(std::map<std::string, EngineSpec> engines) {
+    engines_ = std::move(engines);
+  }
+
   // Returns nullopt if the service has no eligible server for the request.
   std::optional<PlacementChoice> Choose(const PlacementQuery& query);
 
@@ -240,8 +257,16 @@
     InFlightLoad load;
     Millis received_at{0};
   };
+  // A prompt part that requests of this host in flight share.
+  struct HeldPart {
+    Tokens tokens = 0;
+    int requests = 0;
+  };
   struct Server {
     BackendEntry entry;
+    // Differs for each incarnation of a server.
+    std::uint64_t generation = 0;
+    std::unordered_map<std::string, HeldPart> held_parts;
     InFlightLoad local;
     // Load that was last sent to the peers.
     InFlightLoad sent;
@@ -272,8 +297,14 @@
     std::string server_id;
     Tokens prefill_tokens = 0;
     Millis begun_at{0};
-    // Start time of the server; its samples say nothing about a later one.
-    std::optional<std::int64_t> server_start_ms;
+    // Incarnation of the server that got the request.
+    std::uint64_t generation = 0;
+    // Memory that the request needs by itself, that of its output in it, and
+    // its shared parts.
+    Tokens held_tokens = 0;
+    Tokens held_output = 0;
+    std::vector<std::string> held_parts;
+    Tokens events = 0;
     // Time that the prompt takes at the usual speed, that of the work ahead of
     // it, and the slowdown at the dispatch.
     double prompt_ms = 0;
@@ -290,7 +321,21 @@
   // False if the server is draining or its failure domain is evacuated.
   bool IsUsable(const Server& server) const;
   InFlightLoad SumPeerLoads(const Server& server, Millis now) const;
-  double LoadMs(const Server& server, bool is_model, Millis now) const;
+  double LoadMs(const Server& server,
+                const InFlightLoad& peers,
+                bool is_model,
+                Millis now) const;
+  // The engines of the service if their memory is known, or nullptr.
+  const EngineSpec* FindEngine(const std::string& service) const;
+  // Engine memory that the request needs at the server beyond what this host's
+  // requests hold there.
+  Tokens NeededTokens(const Server& server, const ModelWork& work) const;
+  void HoldTokens(Server& server, const ModelWork& work, Dispatch& dispatch);
+  void ReleaseTokens(Server& server, const Dispatch& dispatch);
+  // Counts output beyond the expected one.
+  void HoldProducedTokens(Server& server, Dispatch& dispatch);
+  // Returns the server that got the request, or nullptr if it is gone.
+  Server* FindServer(const Dispatch& dispatch);
   // Momentary slowdown of the server, as a factor.
   double Slowdown(const Server& server, Millis now) const;
   // How much longer than usual work takes on the server.
@@ -308,6 +353,8 @@
   const PlacementOptions options_;
   const std::string own_failure_domain_;
   std::map<std::string, Server> servers_;
+  std::uint64_t last_generation_ = 0;
+  std::map<std::string, EngineSpec> engines_;
   ServerSpeed speed_;
   std::unordered_map<DispatchId, Dispatch> dispatches_;
   DispatchId last_dispatch_id_ = 0;
--- a/src/peer_generated.h
+++ b/src/peer_generated.h
@@ -1399,7 +1399,8 @@
     VT_REQUESTS = 6,
     VT_UNREAD_TOKENS = 8,
     VT_SLOWDOWN_PERCENT = 10,
-    VT_SLOWDOWN_AGE_MS = 12
+    VT_SLOWDOWN_AGE_MS = 12,
+    VT_HELD_TOKENS = 14
   };
   const flatbuffers::String *server() const {
     return GetPointer<const flatbuffers::String *>(VT_SERVER);
@@ -1416,6 +1417,9 @@
   uint32_t slowdown_age_ms() const {
     return GetField<uint32_t>(VT_SLOWDOWN_AGE_MS, 0);
   }
+  uint64_t held_tokens() const {
+    return GetField<uint64_t>(VT_HELD_TOKENS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_SERVER) &&
@@ -1424,6 +1428,7 @@
            VerifyField<uint64_t>(verifier, VT_UNREAD_TOKENS, 8) &&
            VerifyField<uint32_t>(verifier, VT_SLOWDOWN_PERCENT, 4) &&
            VerifyField<uint32_t>(verifier, VT_SLOWDOWN_AGE_MS, 4) &&
+           VerifyField<uint64_t>(verifier, VT_HELD_TOKENS, 8) &&
            verifier.EndTable();
   }
 };
@@ -1447,6 +1452,9 @@
   void add_slowdown_age_ms(uint32_t slowdown_age_ms) {
     fbb_.AddElement<uint32_t>(ServerLoad::VT_SLOWDOWN_AGE_MS, slowdown_age_ms, 0);
   }
+  void add_held_tokens(uint64_t held_tokens) {
+    fbb_.AddElement<uint64_t>(ServerLoad::VT_HELD_TOKENS, held_tokens, 0);
+  }
   explicit ServerLoadBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1465,8 +1473,10 @@
     uint32_t requests = 0,
     uint64_t unread_tokens = 0,
     uint32_t slowdown_percent = 0,
-    uint32_t slowdown_age_ms = 0) {
+    uint32_t slowdown_age_ms = 0,
+    uint64_t held_tokens = 0) {
   ServerLoadBuilder builder_(_fbb);
+  builder_.add_held_tokens(held_tokens);
   builder_.add_unread_tokens(unread_tokens);
   builder_.add_slowdown_age_ms(slowdown_age_ms);
   builder_.add_slowdown_percent(slowdown_percent);
@@ -1481,7 +1491,8 @@
     uint32_t requests = 0,
     uint64_t unread_tokens = 0,
     uint32_t slowdown_percent = 0,
-    uint32_t slowdown_age_ms = 0) {
+    uint32_t slowdown_age_ms = 0,
+    uint64_t held_tokens = 0) {
   auto server__ = server ? _fbb.CreateString(server) : 0;
   return crocuslatch::wire::CreateServerLoad(
       _fbb,
@@ -1489,7 +1500,8 @@
       requests,
       unread_tokens,
       slowdown_percent,
-      slowdown_age_ms);
+      slowdown_age_ms,
+      held_tokens);
 }
 
 struct ServerSpeed FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/tests/correctness/load_broadcast_test.cc
+++ b/tests/correctness/load_broadcast_test.cc
@@ -53,12 +53,13 @@
 }
 
 // Guards against figures that are lost or scaled between two hosts.
-TEST_CASE("a host receives another host's slowdowns and measured speeds") {
+TEST_CASE("a host receives another host's slowdowns, speeds and memory") {
   PeerAddresses addresses;
   Host a("a", &addresses);
   Host b("b", &addresses);
+  a.placement.SetEngines({{"model", {.kv_capacity = 100'000}}});
   a.placement.OnLoadReport("e0", {1, 0, 250}, a.loop.now());
-  const ModelWork work{.prompt_tokens = 8'000};
+  const ModelWork work{.prompt_tokens = 8'000, .max_output_tokens = 500};
   a.placement.Begin("e0", &work, a.loop.now());
   for (int i = 0; i < 16; ++i) {
     for (const auto* id : {"e0", "e1", "e2"}) {
@@ -73,6 +74,9 @@
     a.placement.OnLoadReport("e0", {1, 0, 250}, a.loop.now());
     return b.placement.View(b.loop.now()).front().slowdown > 1.5;
   }));
+  CHECK(RunUntil([&] {
+    return b.placement.View(b.loop.now()).front().held_tokens == 8'500;
+  }));
   CHECK(RunUntil([&] {
     b.placement.speed().Refresh(b.loop.now());
     return b.placement.speed().TimeFactor("e0") > 1.5 &&
