--- a/core/load/placement.cc
+++ b/core/load/placement.cc
@@ -7,11 +7,36 @@
 namespace crocuslatch {
 namespace {
 
-// Rendezvous hash; the server with the highest rank is the session's home.
-std::uint64_t HomeRank(std::string_view session, std::string_view server_id) {
-  return StableHash(server_id, StableHash(session));
+// Weighted rendezvous hash; the server with the highest rank is the session's
+// home. Each server is the home of a share of the sessions that is proportional
+// to its weight, and a server whose weight changes only gains or only loses
+// sessions.
+double HomeRank(std::string_view session,
+                std::string_view server_id,
+                double weight) {
+  constexpr int kFractionBits = 53;
+  constexpr int kHashBits = 64;
+  const auto hash = StableHash(server_id, StableHash(session));
+  // Uniform in (0, 1).
+  const double point =
+      std::ldexp(static_cast<double>(hash >> (kHashBits - kFractionBits)) + 0.5,
+                 -kFractionBits);
+  return weight / -std::log(point);
 }
 
+// Output that the request is expected to have; all that it may have without an
+// estimate.
+Tokens ExpectedOutput(const ModelWork& work) {
+  return work.expected_output_tokens > 0
+             ? std::min(work.expected_output_tokens, work.max_output_tokens)
+             : work.max_output_tokens;
+}
+
+// Limits of the slowdown that a server may report; the codec has the same.
+constexpr int kMinSlowdownPercent = 20;
+constexpr int kMaxSlowdownPercent = 1000;
+constexpr int kUsualPercent = 100;
+
 // Returns the last prompt part that other requests share, or nullptr.
 const PromptPart* SessionPart(const ModelWork& work) {
   return work.parts.size() < 2 ? nullptr : &work.parts[work.parts.size() - 2];
@@ -28,7 +53,9 @@
 }  // namespace
 
 Placement::Placement(PlacementOptions options, std::string own_failure_domain)
-    : options_(options), own_failure_domain_(std::move(own_failure_domain)) {}
+    : options_(options),
+      own_failure_domain_(std::move(own_failure_domain)),
+      speed_(options.speed) {}
 
 void Placement::SetServers(const std::vector<BackendEntry>& entries,
                            Millis now) {
@@ -43,12 +70,15 @@
         found->second.entry.service == it.service;
     if (is_same) {
       server = std::move(found->second);
+    } else {
+      server.generation = ++last_generation_;
     }
     server.entry = it;
     server.warmup_until = now + it.warmup_time;
     next.emplace(it.id, std::move(server));
   }
   servers_ = std::move(next);
+  speed_.SetServers(entries, now);
 }
 
 InFlightLoad Placement::SumPeerLoads(const Server& server, Millis now) const {
@@ -57,15 +87,16 @@
     if (now - peer.received_at <= options_.peer_load_ttl) {
       sum.requests += peer.load.requests;
       sum.prefill_tokens += peer.load.prefill_tokens;
+      sum.held_tokens += peer.load.held_tokens;
     }
   }
   return sum;
 }
 
 double Placement::LoadMs(const Server& server,
+                         const InFlightLoad& peers,
                          bool is_model,
                          Millis now) const {
-  const auto peers = SumPeerLoads(server, now);
   double running = server.local.requests + peers.requests;
   double waiting = 0;
   const bool has_peer_loads =
@@ -93,6 +124,19 @@
          running * options_.ms_per_running + waiting * options_.ms_per_waiting;
 }
 
+double Placement::Slowdown(const Server& server, Millis now) const {
+  const double excess =
+      static_cast<double>(server.slowdown_percent) / kUsualPercent - 1;
+  const auto age = static_cast<double>((now - server.slowdown_at).count());
+  const auto half_life =
+      static_cast<double>(options_.slowdown_half_life.count());
+  return 1 + excess * std::exp2(-age / half_life);
+}
+
+double Placement::TimeFactor(const Server& server, Millis now) const {
+  return speed_.TimeFactor(server.entry.id) * Slowdown(server, now);
+}
+
 Tokens Placement::CachedTokens(const Server& server,
                                const ModelWork& work,
                                Millis now) const {
@@ -108,6 +152,65 @@
   return cached;
 }
 
+const EngineSpec* Placement::FindEngine(const std::string& service) const {
+  const auto it = engines_.find(service);
+  return it == engines_.end() || it->second.kv_capacity <= 0 ? nullptr
+                                                             : &it->second;
+}
+
+Tokens Placement::NeededTokens(const Server& server,
+                               const ModelWork& work) const {
+  Tokens needed = AddTokens(work.prompt_tokens, ExpectedOutput(work));
+  for (std::size_t i = 0; i + 1 < work.parts.size(); ++i) {
+    if (server.held_parts.contains(work.parts[i].id)) {
+      needed -= work.parts[i].tokens;
+    }
+  }
+  return std::clamp<Tokens>(needed, 0, options_.max_peer_tokens);
+}
+
+void Placement::HoldTokens(Server& server,
+                           const ModelWork& work,
+                           Dispatch& dispatch) {
+  if (FindEngine(server.entry.service) == nullptr) {
+    return;
+  }
+  const Tokens shared = SharedTokens(work);
+  dispatch.held_output = ExpectedOutput(work);
+  dispatch.held_tokens =
+      std::clamp<Tokens>(work.prompt_tokens - shared + dispatch.held_output, 0,
+                         options_.max_peer_tokens);
+  server.local.held_tokens += dispatch.held_tokens;
+  for (std::size_t i = 0; i + 1 < work.parts.size(); ++i) {
+    const auto& part = work.parts[i];
+    auto& held = server.held_parts[part.id];
+    if (held.requests++ == 0) {
+      held.tokens =
+          std::clamp<Tokens>(part.tokens, 0, options_.max_peer_tokens);
+      server.local.held_tokens += held.tokens;
+    }
+    dispatch.held_parts.push_back(part.id);
+  }
+}
+
+void Placement::ReleaseTokens(Server& server, const Dispatch& dispatch) {
+  server.local.held_tokens -= dispatch.held_tokens;
+  for (const auto& it : dispatch.held_parts) {
+    const auto found = server.held_parts.find(it);
+    if (found != server.held_parts.end() && --found->second.requests == 0) {
+      server.local.held_tokens -= found->second.tokens;
+      server.held_parts.erase(found);
+    }
+  }
+}
+
+Placement::Server* Placement::FindServer(const Dispatch& dispatch) {
+  const auto it = servers_.find(dispatch.server_id);
+  return it == servers_.end() || it->second.generation != dispatch.generation
+             ? nullptr
+             : &it->second;
+}
+
 void Placement::RecordCachedParts(Server& server,
                                   const ModelWork& work,
                                   Millis now) {
@@ -134,8 +237,12 @@
   struct Candidate {
     const Server* server = nullptr;
     double cost = 0;
-    std::uint64_t rank = 0;
+    double rank = 0;
+    double busy_ms = 0;
+    double expected_ms = 0;
+    Tokens excess_tokens = 0;
   };
+  speed_.Refresh(query.now);
   std::vector<Candidate> candidates;
   const bool is_model = query.work != nullptr;
   const auto* session = is_model ? SessionPart(*query.work) : nullptr;
@@ -148,7 +255,9 @@
         continue;
       }
       candidates.push_back(
-          {&server, 0, session != nullptr ? HomeRank(session->id, id) : 0});
+          {&server, 0,
+           session != nullptr ? HomeRank(session->id, id, speed_.HomeWeight(id))
+                              : 0});
     }
   };
   collect(false);
@@ -158,10 +267,16 @@
   if (candidates.empty()) {
     return std::nullopt;
   }
+  const EngineSpec* engine =
+      is_model ? FindEngine(std::string(query.service)) : nullptr;
   const auto home =
       std::ranges::max_element(candidates, {}, &Candidate::rank)->server;
   for (auto& it : candidates) {
-    it.cost = LoadMs(*it.server, is_model, query.now);
+    const auto peers = SumPeerLoads(*it.server, query.now);
+    it.busy_ms = LoadMs(*it.server, peers, is_model, query.now);
+    it.cost = it.busy_ms;
+    it.expected_ms = it.busy_ms;
+    const double factor = TimeFactor(*it.server, query.now);
     if (is_model) {
       Tokens cached = CachedTokens(*it.server, *query.work, query.now);
       if (session != nullptr && it.server == home) {
@@ -175,37 +290,75 @@
       it.cost += (static_cast<double>(unshared) +
                   options_.recompute_factor * static_cast<double>(recomputed)) /
                  options_.prompt_tokens_per_ms;
+      it.expected_ms += static_cast<double>(unshared + recomputed) /
+                        options_.prompt_tokens_per_ms;
+      if (engine != nullptr) {
+        it.excess_tokens = std::max<Tokens>(
+            0, it.server->local.held_tokens + peers.held_tokens +
+                   NeededTokens(*it.server, *query.work) - engine->kv_capacity);
+      }
+      // The engine preempts requests to make room and reads their prompts
+      // again.
+      it.cost += options_.recompute_factor *
+                 static_cast<double>(it.excess_tokens) /
+                 options_.prompt_tokens_per_ms;
+    } else if (factor != 1) {
+      // The request's own work is the same on even servers and left out there.
+      it.cost += options_.ms_per_plain_request * (1 - 1 / factor);
     }
+    it.cost *= factor;
+    it.expected_ms *= factor;
     if (it.server->entry.failure_domain != own_failure_domain_) {
       it.cost += options_.ms_per_cross_domain;
     }
     if (query.now < it.server->warmup_until) {
       it.cost *= 2;
+      it.expected_ms *= 2;
     }
   }
+  const auto has_room = [](const Candidate& it) {
+    return it.excess_tokens == 0;
+  };
+  const auto eligible = static_cast<int>(candidates.size());
+  if (std::ranges::any_of(candidates, has_room)) {
+    std::erase_if(candidates, std::not_fn(has_room));
+  }
   const auto& best =
       *std::ranges::min_element(candidates, {}, &Candidate::cost);
-  return PlacementChoice{.server_id = best.server->entry.id,
-                         .address = best.server->entry.address,
-                         .expected_ms = best.cost,
-                         .is_home = session != nullptr && best.server == home,
-                         .candidates = static_cast<int>(candidates.size())};
+  return PlacementChoice{
+      .server_id = best.server->entry.id,
+      .address = best.server->entry.address,
+      .expected_ms = best.expected_ms,
+      .cost = best.cost,
+      .excess_tokens = best.excess_tokens,
+      .is_home = session != nullptr && best.server == home,
+      .candidates = eligible,
+      .busy_ms = best.busy_ms,
+      .time_factor = speed_.TimeFactor(best.server->entry.id),
+      .slowdown = Slowdown(*best.server, query.now)};
 }
 
 Placement::DispatchId Placement::Begin(const std::string& server_id,
                                        const ModelWork* work,
                                        Millis now) {
-  Dispatch dispatch{.server_id = server_id};
+  Dispatch dispatch{.server_id = server_id, .begun_at = now};
   const auto it = servers_.find(server_id);
   if (it != servers_.end()) {
     Server& server = it->second;
+    dispatch.generation = server.generation;
+    dispatch.slowdown = Slowdown(server, now);
+    dispatch.ahead_ms =
+        LoadMs(server, SumPeerLoads(server, now), work != nullptr, now);
     ++server.local.requests;
     if (work != nullptr) {
       dispatch.prefill_tokens = std::clamp<Tokens>(
           work->prompt_tokens - CachedTokens(server, *work, now), 0,
           options_.max_peer_tokens);
       server.local.prefill_tokens += dispatch.prefill_tokens;
+      dispatch.prompt_ms = static_cast<double>(dispatch.prefill_tokens) /
+                           options_.prompt_tokens_per_ms;
       RecordCachedParts(server, *work, now);
+      HoldTokens(server, *work, dispatch);
     }
     NotifyLoadChange();
   }
@@ -218,27 +371,113 @@
   if (found == dispatches_.end()) {
     return;
   }
-  const auto it = servers_.find(found->second.server_id);
   const auto tokens = std::exchange(found->second.prefill_tokens, 0);
-  if (it != servers_.end()) {
-    auto& pending = it->second.local.prefill_tokens;
+  if (auto* server = FindServer(found->second)) {
+    auto& pending = server->local.prefill_tokens;
     pending = std::max<Tokens>(0, pending - tokens);
     NotifyLoadChange();
   }
 }
 
+void Placement::OnEvent(DispatchId dispatch_id, Millis now) {
+  const auto found = dispatches_.find(dispatch_id);
+  if (found == dispatches_.end()) {
+    return;
+  }
+  auto& dispatch = found->second;
+  auto* server = FindServer(dispatch);
+  ++dispatch.events;
+  if (server != nullptr) {
+    HoldProducedTokens(*server, dispatch);
+  }
+  if (dispatch.last_event_at) {
+    // Events that were read together say nothing about the pause between them.
+    const auto pause = now - *dispatch.last_event_at;
+    if (pause.count() > 0 && dispatch.pauses.size() < options_.max_pauses) {
+      dispatch.pauses.push_back(pause);
+    }
+    dispatch.last_event_at = now;
+    return;
+  }
+  dispatch.last_event_at = now;
+  dispatch.first_event_at = now;
+  if (server == nullptr) {
+    return;
+  }
+  dispatch.running =
+      server->has_report ? server->reported_running : server->local.requests;
+  dispatch.response_slowdown = Slowdown(*server, now);
+  AddPromptSample(dispatch, *server, now);
+}
+
+void Placement::HoldProducedTokens(Server& server, Dispatch& dispatch) {
+  // Steps of the growth, so that not each event changes what peers are told.
+  constexpr Tokens kGrowth = 256;
+  const auto* engine = FindEngine(server.entry.service);
+  if (engine != nullptr && dispatch.held_tokens > 0 &&
+      dispatch.events * engine->tokens_per_event > dispatch.held_output) {
+    dispatch.held_output += kGrowth;
+    dispatch.held_tokens += kGrowth;
+    server.local.held_tokens += kGrowth;
+  }
+}
+
+void Placement::AddPromptSample(const Dispatch& dispatch,
+                                const Server& server,
+                                Millis now) {
+  // Where other work comes first or requests wait, the time says how busy the
+  // server is, not how fast.
+  const bool is_busy = dispatch.ahead_ms > dispatch.prompt_ms ||
+                       (server.has_report && server.reported_waiting > 0);
+  if (dispatch.prompt_ms < options_.min_prompt_sample_ms || is_busy) {
+    return;
+  }
+  const auto took = static_cast<double>((now - dispatch.begun_at).count());
+  const double slowdown = (dispatch.slowdown + dispatch.response_slowdown) / 2;
+  speed_.AddSample(dispatch.server_id, SpeedSample::kPrompt,
+                   took / ((dispatch.prompt_ms + dispatch.ahead_ms) * slowdown),
+                   now);
+}
+
+void Placement::AddPauseSample(const Dispatch& dispatch, Millis now) {
+  if (dispatch.pauses.size() < options_.min_pauses) {
+    return;
+  }
+  const bool is_in_spell =
+      now - dispatch.first_event_at < 2 * options_.max_slowdown_age &&
+      (dispatch.response_slowdown > options_.max_sample_slowdown ||
+       dispatch.response_slowdown < 1 / options_.max_sample_slowdown);
+  // Prompts of other requests prolong some of the pauses, so a low quantile
+  // shows the speed.
+  auto pauses = dispatch.pauses;
+  const auto quarter =
+      pauses.begin() + static_cast<std::ptrdiff_t>(pauses.size() / 4);
+  std::ranges::nth_element(pauses, quarter);
+  if (is_in_spell || *quarter < options_.min_pause_sample) {
+    return;
+  }
+  speed_.AddSample(
+      dispatch.server_id, SpeedSample::kPause,
+      static_cast<double>(quarter->count()) /
+          (options_.step_ms + options_.step_ms_per_running * dispatch.running),
+      now);
+}
+
 void Placement::End(DispatchId dispatch_id, DispatchResult result, Millis now) {
   OnFirstByte(dispatch_id, now);
   const auto found = dispatches_.find(dispatch_id);
   if (found == dispatches_.end()) {
     return;
   }
-  const auto it = servers_.find(found->second.server_id);
+  const Dispatch dispatch = std::move(found->second);
   dispatches_.erase(found);
-  if (it == servers_.end()) {
+  auto* found_server = FindServer(dispatch);
+  if (found_server == nullptr) {
     return;
   }
-  Server& server = it->second;
+  Server& server = *found_server;
+  AddPauseSample(dispatch, now);
+  ReleaseTokens(server, dispatch);
   server.local.requests = std::max(0, server.local.requests - 1);
   NotifyLoadChange();
   if (result == DispatchResult::kServed) {
@@ -263,18 +502,21 @@
 }
 
 void Placement::OnLoadReport(const std::string& server_id,
-                             int running,
-                             int waiting,
+                             const LoadReport& report,
                              Millis now) {
   const auto it = servers_.find(server_id);
   if (it == servers_.end()) {
     return;
   }
-  it->second.reported_running = running;
-  it->second.reported_waiting = waiting;
+  it->second.reported_running = report.running;
+  it->second.reported_waiting = report.waiting;
   it->second.in_flight_at_report = it->second.local.requests;
   it->second.reported_at = now;
   it->second.has_report = true;
+  it->second.slowdown_percent = std::clamp(
+      report.slowdown_percent, kMinSlowdownPercent, kMaxSlowdownPercent);
+  it->second.slowdown_at = now;
+  it->second.is_own_slowdown = true;
 }
 
 void Placement::NotifyLoadChange() const {
@@ -292,7 +534,14 @@
     if (server.local != server.sent || needs_resend) {
       server.sent = server.local;
       server.sent_at = now;
-      changed.push_back({id, server.local});
+      LocalLoad update{id, server.local};
+      const Millis age = now - server.slowdown_at;
+      if (server.is_own_slowdown && server.slowdown_percent != kUsualPercent &&
+          age <= options_.max_slowdown_age) {
+        update.slowdown_percent = server.slowdown_percent;
+        update.slowdown_age = age;
+      }
+      changed.push_back(std::move(update));
     }
   }
   return changed;
@@ -313,10 +562,26 @@
   }
   it->second.peers[host] = {
       {std::clamp(load.requests, 0, options_.max_peer_requests),
-       std::clamp<Tokens>(load.prefill_tokens, 0, options_.max_peer_tokens)},
+       std::clamp<Tokens>(load.prefill_tokens, 0, options_.max_peer_tokens),
+       std::clamp<Tokens>(load.held_tokens, 0, options_.max_peer_tokens)},
       now};
 }
 
+void Placement::OnPeerSlowdown(const std::string& server_id,
+                               int slowdown_percent,
+                               Millis age,
+                               Millis now) {
+  const auto it = servers_.find(server_id);
+  const Millis reported_at = now - std::max(age, Millis{0});
+  if (it == servers_.end() || reported_at <= it->second.slowdown_at) {
+    return;
+  }
+  it->second.slowdown_percent =
+      std::clamp(slowdown_percent, kMinSlowdownPercent, kMaxSlowdownPercent);
+  it->second.slowdown_at = reported_at;
+  it->second.is_own_slowdown = false;
+}
+
 bool Placement::IsUsable(const Server& server) const {
   return !server.entry.is_draining &&
          !evacuated_domains_.contains(server.entry.failure_domain);
@@ -330,10 +595,15 @@
 std::vector<ServerView> Placement::View(Millis now) const {
   std::vector<ServerView> view;
   for (const auto& [id, server] : servers_) {
-    view.push_back({.entry = server.entry,
-                    .in_flight = server.local.requests,
-                    .load_ms = LoadMs(server, true, now),
-                    .is_avoided = now < server.avoid_until});
+    const auto peers = SumPeerLoads(server, now);
+    view.push_back(
+        {.entry = server.entry,
+         .in_flight = server.local.requests,
+         .load_ms = LoadMs(server, peers, true, now),
+         .is_avoided = now < server.avoid_until,
+         .time_factor = speed_.TimeFactor(id),
+         .slowdown = Slowdown(server, now),
+         .held_tokens = server.local.held_tokens + peers.held_tokens});
   }
   return view;
 }
--- a/src/log.cc
+++ b/src/log.cc
@@ -131,6 +131,7 @@
       {LogEvent::kDomainRestored, LogLevel::kInfo, "domain_restored"},
       {LogEvent::kServerCold, LogLevel::kInfo, "server_cold"},
       {LogEvent::kServerWarm, LogLevel::kInfo, "server_warm"},
+      {LogEvent::kServerSpeedChanged, LogLevel::kInfo, "server_speed_changed"},
   };
   return kCatalogue;
 }
--- a/src/log.h
+++ b/src/log.h
@@ -90,6 +90,7 @@
   kDomainRestored = 712,
   kServerCold = 713,
   kServerWarm = 714,
+  kServerSpeedChanged = 730,
 };
 
 struct LogEventInfo {
