--- a/app/stamp_writer.h
+++ b/app/stamp_writer.h
@@ -32,8 +32,10 @@
   std::function<HostStamp()> make_stamp;
   // True if a new stamp may be made now.
   std::function<bool()> may_write;
-  // Called when a new stamp is made, before it is written.
+  // Called before `make_stamp`.
   std::function<void(Millis now)> before_write;
+  // Called when the stamp is known to be stored; may be null.
+  std::function<void()> after_write = nullptr;
 };
 
 class StampWriter {
