Limit the requests to cold servers over all hosts

Cause: a server that has just started tolerates cold_per_s requests per second from all hosts together, and each host sent to it as to any other. Change: ColdAllowance decides for each host whether it may send one more request to a cold server. Restarted hosts wait for one spacing, new ones until all others have read the list of hosts. If only cold servers are left, the request is refused with servers_cold and a spread Retry-After. The probe after a crash sends no request any more. A request that was held back just before sending no longer counts as a failure to connect.

--- a/app/forwarding.cc
+++ b/app/forwarding.cc
@@ -323,8 +323,7 @@
                                                      .tried = &tried_servers_,
                                                      .now = now});
     if (!choice) {
-      FailDispatch("no_server",
-                   "no backend server is available for the request");
+      FailWithoutServer();
       return;
     }
     ++attempts_;
@@ -335,6 +334,7 @@
     dispatch_id_ = context_->placement->Begin(server_id_, work(), now);
     dispatched_at_ = now;
     status_ = 0;
+    is_held_back_ = false;
     is_sealed_ = false;
     not_executed_ = false;
     response_body_.clear();
@@ -380,8 +380,10 @@
          .stall_timeout = remaining},
         {.may_send =
              [self = shared_from_this()] {
-               return !self->Verdict() &&
-                      self->context_->placement->MayStillSend(self->server_id_);
+               self->is_held_back_ =
+                   self->Verdict() ||
+                   !self->context_->placement->MayStillSend(self->server_id_);
+               return !self->is_held_back_;
              },
          .accepts_response =
              [id = caller_.request_id](int status, const HttpHeaders& it) {
@@ -430,6 +432,9 @@
       context_->placement->OnLoadReport(server_id_, response.load->running,
                                         response.load->waiting, now);
     }
+    if (response.cold_remaining && context_->on_cold_remaining) {
+      context_->on_cold_remaining(server_id_, *response.cold_remaining);
+    }
     response_headers_ = platform::FilterResponseHeaders(headers);
     if (IsSuccess(status) && !response.has_seal) {
       return;
@@ -575,7 +580,9 @@
       return;
     }
     if (end == HttpResult::kNotSent) {
-      EndDispatch(DispatchResult::kUnreachable, end);
+      EndDispatch(is_held_back_ ? DispatchResult::kNeutral
+                                : DispatchResult::kUnreachable,
+                  end);
       RetryAfterConnectFailure();
       return;
     }
@@ -631,14 +638,29 @@
                  "the backend server failed or refused the request");
   }
 
+  void FailWithoutServer() {
+    const auto wait = context_->cold_retry_after
+                          ? context_->cold_retry_after(service_)
+                          : std::nullopt;
+    if (wait) {
+      FailDispatch(
+          "servers_cold",
+          "the backend servers have just started and take few requests", *wait);
+      return;
+    }
+    FailDispatch("no_server", "no backend server is available for the request");
+  }
+
   // Ends the request without another dispatch. The status is 503 only if no
   // server can have run the request.
-  void FailDispatch(const std::string& code, const std::string& message) {
+  void FailDispatch(const std::string& code,
+                    const std::string& message,
+                    Millis retry_after = Millis{200}) {
     if (may_have_run_) {
       Fail(OutcomeUnknown(kBadGateway, code, message));
       return;
     }
-    Fail(Unavailable(code, message, Millis{200}));
+    Fail(Unavailable(code, message, retry_after));
   }
 
   void EndDispatch(DispatchResult result, HttpResult end) {
@@ -826,6 +848,9 @@
   Millis dispatched_at_{0};
   int status_ = 0;
   bool is_sealed_ = false;
+  // The current dispatch was not sent, since the reasons for its server had
+  // changed before it could be.
+  bool is_held_back_ = false;
   bool not_executed_ = false;
   HttpHeaders response_headers_;
   std::string response_body_;
--- a/app/forwarding.h
+++ b/app/forwarding.h
@@ -73,6 +73,13 @@
   // Releases a reservation of which `used` tokens were spent.
   std::function<void(const std::string& account, Tokens reserved, Tokens used)>
       settle;
+  // A server has stated how much longer it stays cold. May be empty.
+  std::function<void(const std::string& server_id, Millis remaining)>
+      on_cold_remaining;
+  // Returns the time after which a cold server of the service may get a
+  // request; nullopt if none of its servers is cold. May be empty.
+  std::function<std::optional<Millis>(const std::string& service)>
+      cold_retry_after;
   // Returns a random number, uniform in [0, 1).
   std::function<double()> random;
 };
--- a/app/front.cc
+++ b/app/front.cc
@@ -5,6 +5,7 @@
 
 #include <QRandomGenerator>
 #include <algorithm>
+#include <map>
 #include <optional>
 #include <set>
 #include <utility>
@@ -24,6 +25,7 @@
 #include "app/write_batching.h"
 #include "core/budget_homes.h"
 #include "core/ledger_writers.h"
+#include "core/load/cold_allowance.h"
 #include "core/load/loop_lag.h"
 #include "core/planned_stop.h"
 #include "core/registry_timing.h"
@@ -177,6 +179,10 @@
         aggregated_store(MakeAggregatedStore()),
         ledger_writers({}, {settings.host_name, OwnLinkMbps()}),
         placement({}, settings.failure_domain),
+        cold_allowance({.own_host = settings.host_name,
+                        .excess = settings.cold_excess,
+                        .slack = settings.cold_slack},
+                       BootNow()),
         retry_budget({.window = settings.retry_window,
                       .ratio = settings.retry_ratio * kRetryLimitFraction}),
         rotation_policy({}, settings.link_mbps * kBytesPerMegabit),
@@ -198,6 +204,7 @@
   Store aggregated_store;
   LedgerWriters ledger_writers;
   Placement placement;
+  ColdAllowance cold_allowance;
   RetryBudget retry_budget;
   RotationPolicy rotation_policy;
   LoopLag loop_lag;
@@ -368,20 +375,24 @@
         });
   }
 
-  // Passes whether the server accepts no connections.
+  // Passes whether the server accepts no connections. Sends no request, since
+  // the server may be cold and each of many hosts may probe it.
   void ProbeServer(const std::string& address,
                    std::function<void(bool is_down)> callback) {
-    probe_client.SendAndCollect(
-        {.method = "GET",
-         .url =
-             fmt::format("http://{}{}", address, platform::kServerReportPath),
-         .connect_timeout = kCrashProbeTimeout,
-         .first_byte_timeout = kCrashProbeTimeout,
-         .stall_timeout = kCrashProbeTimeout},
-        [callback = std::move(callback)](
-            HttpResult end, int, const HttpHeaders&, const std::string&) {
-          callback(end == HttpResult::kNotSent);
-        });
+    const auto is_down = std::make_shared<bool>(true);
+    probe_client.Send({.method = "GET",
+                       .url = fmt::format("http://{}{}", address,
+                                          platform::kServerReportPath),
+                       .connect_timeout = kCrashProbeTimeout,
+                       .first_byte_timeout = kCrashProbeTimeout,
+                       .stall_timeout = kCrashProbeTimeout},
+                      {.may_send =
+                           [is_down] {
+                             *is_down = false;
+                             return false;
+                           },
+                       .on_end = [is_down, callback = std::move(callback)](
+                                     HttpResult) { callback(*is_down); }});
   }
 
   RelayedStoreHooks MakeRelayedStoreHooks() {
@@ -403,7 +414,8 @@
   void Start() {
     hosts = std::make_unique<HostDirectory>(
         HostDirectoryOptions{.prefix = std::string(kHostsPrefix),
-                             .own_host = settings.host_name},
+                             .own_host = settings.host_name,
+                             .own_incarnation = holder.incarnation},
         aggregated_store, loop);
     quarantine = std::make_unique<PromptQuarantine>(
         PromptQuarantineOptions{.prefix = std::string(kCrashesPrefix),
@@ -418,6 +430,7 @@
             .wall_now = &WallNow});
     StartGrants();
     StartContext();
+    StartColdAllowance();
     follower = std::make_unique<DesiredStateFollower>(
         DesiredStateFollowerOptions{
             .key = std::string(platform::kDesiredStateKey),
@@ -430,7 +443,7 @@
             .poll_period = registry_timing.poll_period,
             .late_after = registry_timing.late_after},
         aggregated_store, loop, &platform::DecodeBackendEntry,
-        [this](const auto& it) { placement.SetServers(it, loop.now()); });
+        [this](const auto& it) { OnServers(it); });
     if (UsesEvacuations()) {
       evacuations = std::make_unique<EvacuationFollower>(
           EvacuationFollowerOptions{
@@ -528,6 +541,10 @@
       retry_budget.SetSlack(settings.retry_slack * kRetryLimitFraction /
                             static_cast<double>(others + 1));
     }
+    if (const auto known = hosts->KnownHosts()) {
+      cold_allowance.SetHosts(*known, hosts->is_new_host());
+    }
+    LogColdChanges();
     loop.after(kFleetSizeUpdatePeriod, [self = weak_from_this()] {
       if (const auto core = self.lock()) {
         core->UpdateFleetSizeLater();
@@ -827,7 +844,58 @@
     placement.SetEvacuatedDomains(domains);
   }
 
+  void OnServers(const std::vector<BackendEntry>& entries) {
+    const Millis now = loop.now();
+    placement.SetServers(entries, now);
+    cold_allowance.SetServers(
+        entries, {.now = now,
+                  .read_at = server_registry->last_read_time().value_or(now),
+                  .wall = WallNow()});
+    LogColdChanges();
+  }
+
+  void LogColdChanges() {
+    for (const auto& it : cold_allowance.TakeChanges(loop.now())) {
+      metrics_registry.IncrementCounter("cold_servers", "change",
+                                        it.is_cold ? "cold" : "warm");
+      LogLine line(it.is_cold ? LogEvent::kServerCold : LogEvent::kServerWarm);
+      line.Add("server", it.server_id);
+      if (it.is_cold) {
+        line.Add("reason", it.reason)
+            .Add("cold_for_ms", it.cold_for)
+            .Add("owner", it.is_owner);
+      }
+    }
+  }
+
+  void StartColdAllowance() {
+    placement.SetMayPlace([this](const BackendEntry& entry, Millis now) {
+      return cold_allowance.MaySend(entry.id, now);
+    });
+    placement.SetDispatchObserver(
+        {.on_begin =
+             [this](const std::string& server_id, Millis now) {
+               cold_allowance.OnDispatch(server_id, now);
+             },
+         .on_unreachable =
+             [this](const std::string& server_id, Millis now) {
+               cold_allowance.OnUnreachable(server_id, now);
+             }});
+    context->on_cold_remaining = [this](const std::string& server_id,
+                                        Millis remaining) {
+      cold_allowance.OnColdRemaining(server_id, remaining, loop.now());
+    };
+    context->cold_retry_after = [this](const std::string& service) {
+      return cold_allowance.RetryAfter(service, loop.now(), RandomDouble());
+    };
+  }
+
   void OnDesiredState(const RoutingTablePointer& table) {
+    std::map<std::string, ColdService> services;
+    for (const auto& it : table->state().services) {
+      services[it.name] = {it.cold_start, it.cold_requests_per_s};
+    }
+    cold_allowance.SetServices(services);
     caller_server->SetLimits(MakeLimits(table->state().limits));
   }
 
--- a/app/host_directory.cc
+++ b/app/host_directory.cc
@@ -24,6 +24,8 @@
   // count as new.
   std::map<std::string, Host> hosts;
   Millis last_read_at{0};
+  bool has_read = false;
+  bool is_new_host = true;
 
   // Compares with the time of the last successful read, so that hosts stay
   // listed while the store is unreachable.
@@ -46,6 +48,7 @@
         UpdateHost(it);
       }
       last_read_at = loop.now();
+      has_read = true;
     }
     loop.after(options.poll_period, [self = weak_from_this()] {
       if (const auto core = self.lock()) {
@@ -57,6 +60,9 @@
   void UpdateHost(const StoreItem& item) {
     const auto stamp = DecodeHostStamp(item.value);
     const auto name = item.key.substr(options.prefix.size());
+    if (stamp && name == options.own_host && !has_read) {
+      is_new_host = stamp->incarnation == options.own_incarnation;
+    }
     if (!stamp || name == options.own_host) {
       return;
     }
@@ -93,6 +99,23 @@
   return names;
 }
 
+std::optional<std::vector<std::string>> HostDirectory::KnownHosts() const {
+  if (!core_->has_read) {
+    return std::nullopt;
+  }
+  std::vector<std::string> names;
+  for (const auto& [name, host] : core_->hosts) {
+    if (core_->last_read_at - host.changed_at <= core_->options.forget_after) {
+      names.push_back(name);
+    }
+  }
+  return names;
+}
+
+bool HostDirectory::is_new_host() const {
+  return core_->is_new_host;
+}
+
 std::int64_t HostDirectory::LinkMbps(const std::string& host) const {
   const auto it = core_->hosts.find(host);
   return it == core_->hosts.end() ? 0 : it->second.link_mbps;
--- a/app/host_directory.h
+++ b/app/host_directory.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,10 @@
   Millis poll_period{5000};
   // A host whose stamp has not changed for this long is left out.
   Millis stale_after{20000};
+  // A host whose stamp has not changed for this long is not known any more.
+  Millis forget_after{120000};
+  // Incarnation of this process, by which it recognizes its own stamps.
+  std::uint64_t own_incarnation = 0;
 };
 
 class HostDirectory {
@@ -33,6 +38,14 @@
   // Returns the hosts with recent stamps, without this host. While the store is
   // unreachable, these are the hosts of the last successful read.
   std::vector<std::string> OtherHosts() const;
+  // Returns the live hosts and those that were live a while ago, without this
+  // host; nullopt until the store has been read. Changes rarely: not when hosts
+  // restart, nor after an outage of the store, in which no host can write its
+  // stamp.
+  std::optional<std::vector<std::string>> KnownHosts() const;
+  // False if the first read found a stamp of an earlier process on this host,
+  // so that the other hosts know it.
+  bool is_new_host() const;
   // Returns the bandwidth of the host's link in Mbit/s; 0 if unknown.
   std::int64_t LinkMbps(const std::string& host) const;
   // Returns the host's failure domain; empty if unknown.
--- a/core/load/placement.cc
+++ b/core/load/placement.cc
@@ -196,6 +196,9 @@
                                        const ModelWork* work,
                                        Millis now) {
   Dispatch dispatch{.server_id = server_id};
+  if (dispatch_observer_.on_begin) {
+    dispatch_observer_.on_begin(server_id, now);
+  }
   const auto it = servers_.find(server_id);
   if (it != servers_.end()) {
     Server& server = it->second;
@@ -234,6 +237,10 @@
     return;
   }
   const auto it = servers_.find(found->second.server_id);
+  if (result == DispatchResult::kUnreachable &&
+      dispatch_observer_.on_unreachable) {
+    dispatch_observer_.on_unreachable(found->second.server_id, now);
+  }
   dispatches_.erase(found);
   if (it == servers_.end()) {
     return;
--- a/core/load/placement.h
+++ b/core/load/placement.h
@@ -166,6 +166,16 @@
   // returns false is not chosen.
   using MayPlace = std::function<bool(const BackendEntry& entry, Millis now)>;
   void SetMayPlace(MayPlace hook) { may_place_ = std::move(hook); }
+  // Hooks that are called for dispatches; each may be empty.
+  struct DispatchObserver {
+    std::function<void(const std::string& server_id, Millis now)> on_begin;
+    // The server accepted no connection.
+    std::function<void(const std::string& server_id, Millis now)>
+        on_unreachable;
+  };
+  void SetDispatchObserver(DispatchObserver observer) {
+    dispatch_observer_ = std::move(observer);
+  }
   // Servers in these failure domains get nothing.
   void SetEvacuatedDomains(std::set<std::string> domains) {
     evacuated_domains_ = std::move(domains);
@@ -230,6 +240,7 @@
   DispatchId last_dispatch_id_ = 0;
   std::function<void()> on_load_change_;
   MayPlace may_place_;
+  DispatchObserver dispatch_observer_;
   std::set<std::string> evacuated_domains_;
   // Time of the last report from any peer.
   std::optional<Millis> last_peer_load_;
--- a/tests/correctness/forwarding_test.cc
+++ b/tests/correctness/forwarding_test.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <map>
 
 #include "tests/forwarding_fixture.h"
 
@@ -257,6 +258,36 @@
         draining);
 }
 
+// Guards against a request that waits or is lost when only cold servers are
+// left, and against callers that return before one may be used.
+TEST_CASE("a request is refused at once if all servers are cold and in use") {
+  Fixture it;
+  std::map<std::string, Millis> cold;
+  it.context->on_cold_remaining = [&](const auto& server, Millis remaining) {
+    cold[server] = remaining;
+  };
+  it.context->cold_retry_after = [](const auto&) { return Millis{400}; };
+  it.placement.SetMayPlace([&](const BackendEntry& entry, Millis) {
+    return !cold.contains(entry.id);
+  });
+  it.respond = [](const IncomingRequest&, HttpReply reply) {
+    auto headers = Fixture::Sealed();
+    headers.push_back({"Crocuslatch-Cold-Remaining", "1500"});
+    reply.SendResponse(200, headers, "done");
+  };
+  // A server that states that it is cold is known to be.
+  CHECK(it.SendAndWait(it.Request("POST", "/order/1")).status == 200);
+  CHECK(it.SendAndWait(it.Request("POST", "/order/1")).status == 200);
+  REQUIRE(cold.size() == 2);
+  CHECK(cold.begin()->second == Millis{1500});
+  const auto answer = it.SendAndWait(it.Request("POST", "/order/1"));
+  CHECK(answer.status == 503);
+  CHECK(answer.body.find("servers_cold") != std::string::npos);
+  CHECK(answer.body.find("not_run") != std::string::npos);
+  CHECK(FindHeader(answer.headers, "Retry-After") == "0.400");
+  CHECK(it.received.size() == 2);
+}
+
 // Guards against sending a prompt on that crashes servers (BUDGET), against an
 // answer that says "not run" after the last crash, and against refusing others.
 TEST_CASE("a prompt that crashed three servers is refused without being sent") {
--- a/tests/correctness/request_codec_test.cc
+++ b/tests/correctness/request_codec_test.cc
@@ -24,4 +24,17 @@
   CHECK_FALSE(Decode("3,0,8,100,1"));
 }
 
+// Guards against a malformed header that makes a server count as cold or warm.
+TEST_CASE("a server states its remaining cold time in milliseconds") {
+  const auto decode = [](const std::string& text) {
+    return DecodeServerResponse(200, {{std::string(kColdRemaining), text}})
+        .cold_remaining;
+  };
+  CHECK(decode("1500") == Millis{1500});
+  CHECK(decode("0") == Millis{0});
+  CHECK_FALSE(decode(""));
+  CHECK_FALSE(decode("-5"));
+  CHECK_FALSE(decode("soon"));
+}
+
 }  // namespace crocuslatch::platform
--- a/tests/process/evacuation_test.cc
+++ b/tests/process/evacuation_test.cc
@@ -1,15 +1,19 @@
 #include <fmt/format.h>
 
+#include <QElapsedTimer>
 #include <QJsonArray>
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <optional>
+#include <vector>
 
 #include "app/front.h"
 #include "io/http_client.h"
 #include "tests/process/platform_standin.h"
 #include "tests/process/process.h"
 
-// Evacuations of failure domains through a whole host and the platform's store.
+// Evacuations of failure domains and limits on cold servers, through a whole
+// host and the platform's store.
 
 namespace crocuslatch::test {
 namespace {
@@ -29,8 +33,10 @@
                                                  {"service", "app"},
                                                  {"max_attempts", 2},
                                                  {"public", true}}}},
-               {"services", QJsonArray{QJsonObject{
-                                {"name", "app"}, {"health_path", "/health"}}}},
+               {"services", QJsonArray{QJsonObject{{"name", "app"},
+                                                   {"health_path", "/health"},
+                                                   {"cold_start_s", 60},
+                                                   {"cold_per_s", 6.6}}}},
                {"limits", QJsonObject{}},
                {"tenants", QJsonArray{}}});
   }
@@ -49,6 +55,8 @@
                       .metrics_address = address(FreePort()),
                       .peer_address = address(FreePort()),
                       .store_address = store.address(),
+                      .cold_excess = 1.5,
+                      .cold_slack = 5,
                       .evacuate = Millis{5000}});
   }
 
@@ -148,4 +156,39 @@
   CHECK(it.SendOrders() == Counts{0, 10});
 }
 
+// Guards against a host that does not apply the limit on cold servers, and
+// against one that never sends to them.
+TEST_CASE("cold servers get few requests from a host") {
+  Fixture it;
+  it.server_a.SetCold(Millis{60'000});
+  it.server_b.SetCold(Millis{60'000});
+  // Until the next heartbeats.
+  RunFor(Millis{1500});
+  it.Start();
+  REQUIRE(it.WaitUntilReady());
+  // The other hosts may not know a new host yet.
+  const auto refusal = it.Get(it.port, "/order/0");
+  CHECK(refusal.status == 503);
+  CHECK(refusal.body.find("servers_cold") != std::string::npos);
+  CHECK(refusal.body.find("not_run") != std::string::npos);
+  CHECK(it.SendOrders() == Counts{0, 0});
+  QElapsedTimer clock;
+  clock.start();
+  std::vector<std::int64_t> served;
+  while (clock.elapsed() < 12'000) {
+    const auto sent_at = clock.elapsed();
+    if (it.Get(it.port, "/order/0").status == 200) {
+      served.push_back(sent_at);
+    }
+    RunFor(Millis{5});
+  }
+  CHECK(!served.empty());
+  // Both servers together.
+  constexpr std::ptrdiff_t kBound = 2 * 14;
+  for (auto first = served.begin(); first != served.end(); ++first) {
+    const auto end = std::lower_bound(first, served.end(), *first + 1000);
+    CHECK(end - first <= kBound);
+  }
+}
+
 }  // namespace crocuslatch::test
--- a/tests/process/platform_standin.cc
+++ b/tests/process/platform_standin.cc
@@ -189,17 +189,18 @@
 }
 
 void PlatformServer::BeatLater() {
-  store_->Put("servers/" + id_,
-              {{"service", QString::fromStdString(service_)},
-               {"address", QString::fromStdString(
-                               fmt::format("127.0.0.1:{}", server_.port()))},
-               {"zone", QString::fromStdString(failure_domain_)},
-               {"version", "v1"},
-               {"slots", 64},
-               {"state", "ready"},
-               {"cold_remaining_ms", 0},
-               {"sequence", ++sequence_},
-               {"born", qint64{1'700'000'000'000}}});
+  store_->Put(
+      "servers/" + id_,
+      {{"service", QString::fromStdString(service_)},
+       {"address",
+        QString::fromStdString(fmt::format("127.0.0.1:{}", server_.port()))},
+       {"zone", QString::fromStdString(failure_domain_)},
+       {"version", "v1"},
+       {"slots", 64},
+       {"state", "ready"},
+       {"cold_remaining_ms", static_cast<qint64>(cold_remaining_.count())},
+       {"sequence", ++sequence_},
+       {"born", qint64{1'700'000'000'000}}});
   QTimer::singleShot(kHeartbeatPeriod, &context_, [this] { BeatLater(); });
 }
 
--- a/tests/process/platform_standin.h
+++ b/tests/process/platform_standin.h
@@ -60,6 +60,8 @@
                  std::string id,
                  std::string failure_domain = "a");
 
+  // Sets the cold time that the server states from its next heartbeat on.
+  void SetCold(Millis remaining) { cold_remaining_ = remaining; }
   // Number of times that each request ran, by its id.
   const std::map<std::string, int>& runs() const { return runs_; }
 
@@ -71,6 +73,7 @@
   const std::string service_;
   const std::string id_;
   const std::string failure_domain_;
+  Millis cold_remaining_{0};
   int sequence_ = 0;
   std::map<std::string, int> runs_;
   QObject context_;
