--- a/core/load/placement.cc
+++ b/core/load/placement.cc
@@ -342,6 +342,9 @@
                                        const ModelWork* work,
                                        Millis now) {
   Dispatch dispatch{.server_id = server_id, .begun_at = now};
+  if (dispatch_observer_.on_begin) {
+    dispatch_observer_.on_begin(server_id, now);
+  }
   const auto it = servers_.find(server_id);
   if (it != servers_.end()) {
     Server& server = it->second;
@@ -470,6 +473,10 @@
     return;
   }
   const Dispatch dispatch = std::move(found->second);
+  if (result == DispatchResult::kUnreachable &&
+      dispatch_observer_.on_unreachable) {
+    dispatch_observer_.on_unreachable(dispatch.server_id, now);
+  }
   dispatches_.erase(found);
   auto* found_server = FindServer(dispatch);
   if (found_server == nullptr) {
