Move the reservation of a request's tokens out of forwarding

Cause: app/forwarding.cc decides on tokens, dispatches and passes responses on in one class. Change: app/token_reservation holds the tokens of one request: where they are reserved or borrowed, and when they are returned. No change of behaviour. Result: test_correctness and test_error pass.

--- a/app/forwarding.cc
+++ b/app/forwarding.cc
@@ -8,6 +8,7 @@
 #include <set>
 #include <utility>
 
+#include "app/token_reservation.h"
 #include "platform/request_codec.h"
 #include "src/error.h"
 #include "src/log.h"
@@ -18,8 +19,6 @@
 // Timeout for a new connection to a backend server. A lost SYN is retransmitted
 // only after one second.
 constexpr Millis kConnectTimeout{300};
-// Timeout for the reservation of a client account's tokens.
-constexpr Millis kReserveTimeout{250};
 // Retry-After while other routers hold the rest of a budget. They settle and
 // return tokens within about a second, and a retry usually reaches another
 // router.
@@ -187,72 +186,19 @@
     }
     const Tokens amount =
         AddTokens(caller_.work->prompt_tokens, caller_.work->max_output_tokens);
-    context_->reserve_at_home(
-        account_->name, amount,
-        [self = shared_from_this(), amount](const HomeReservation& it) {
-          self->OnHomeReservation(it, amount);
+    reservation_ = std::make_shared<TokenReservation>(
+        context_, caller_.request_id, account_->name);
+    reservation_->Start(
+        amount, [self = shared_from_this(), amount](ReserveStatus status) {
+          if (status == ReserveStatus::kReserved) {
+            self->Dispatch();
+          } else {
+            self->FailReservation(status, amount);
+          }
         });
     return true;
   }
 
-  void OnHomeReservation(const HomeReservation& reservation, Tokens amount) {
-    if (reservation.loan || is_done_) {
-      OnLoan(reservation.loan, ReserveStatus::kReserved, amount);
-    } else if (reservation.is_exhausted) {
-      FailReservation(ReserveStatus::kInsufficient, amount);
-    } else {
-      context_->reserve(account_->name, amount, kReserveTimeout,
-                        [self = shared_from_this(), amount](ReserveStatus it) {
-                          self->OnReservation(it, amount);
-                        });
-    }
-  }
-
-  void OnReservation(ReserveStatus status, Tokens amount) {
-    if (status == ReserveStatus::kReserved) {
-      reserved_tokens_ = amount;
-      if (is_done_) {
-        Settle();
-        return;
-      }
-      Dispatch();
-      return;
-    }
-    if (is_done_) {
-      return;
-    }
-    if (status == ReserveStatus::kInsufficient) {
-      FailReservation(status, amount);
-      return;
-    }
-    context_->borrow(account_->name, amount,
-                     [self = shared_from_this(), status,
-                      amount](const std::optional<Loan>& loan) {
-                       self->OnLoan(loan, status, amount);
-                     });
-  }
-
-  void OnLoan(const std::optional<Loan>& loan,
-              ReserveStatus status,
-              Tokens amount) {
-    loan_ = loan;
-    if (is_done_) {
-      Settle();
-      return;
-    }
-    if (!loan) {
-      FailReservation(status, amount);
-      return;
-    }
-    LogLine(LogEvent::kTokensBorrowed)
-        .Add("request", caller_.request_id)
-        .Add("account", account_->name)
-        .Add("tokens", amount)
-        .Add("host", loan->host)
-        .Add("loan", loan->id);
-    Dispatch();
-  }
-
   void FailReservation(ReserveStatus status, Tokens amount) {
     const auto view = context_->budget_view(account_->name);
     LogLine(LogEvent::kReservationRefused)
@@ -732,7 +678,7 @@
     if (dispatch_id_) {
       may_have_run_ = true;
       EndDispatch(DispatchResult::kNeutral, HttpResult::kCancelled);
-      if (status_ == 0 && (reserved_tokens_ > 0 || loan_)) {
+      if (status_ == 0 && reservation_ && reservation_->HoldsTokens()) {
         is_withdrawing_ = true;
         call_.Withdraw(kWithdrawTimeout);
       } else {
@@ -798,7 +744,7 @@
   }
 
   void Settle() {
-    if (is_withdrawing_ || (reserved_tokens_ == 0 && !loan_)) {
+    if (is_withdrawing_ || !reservation_ || !reservation_->HoldsTokens()) {
       return;
     }
     Tokens used = 0;
@@ -811,17 +757,15 @@
                        std::min(delivered, caller_.work->max_output_tokens));
     }
     used_tokens_ = used;
-    if (loan_) {
-      context_->repay(*std::exchange(loan_, std::nullopt), used);
-    } else {
-      context_->settle(account_->name, std::exchange(reserved_tokens_, 0),
-                       used);
-    }
+    reservation_->Settle(used);
   }
 
   void Finish(std::string_view outcome, int status) {
     is_done_ = true;
     Settle();
+    if (reservation_) {
+      reservation_->Abandon();
+    }
     const Millis now = context_->loop.now();
     context_->metrics->IncrementCounter("requests", "outcome",
                                         std::string(outcome));
@@ -878,8 +822,8 @@
   std::string service_;
   std::optional<EngineSpec> engine_;
   bool is_repeatable_ = false;
-  Tokens reserved_tokens_ = 0;
-  std::optional<Loan> loan_;
+  // Null if the request needs no tokens.
+  std::shared_ptr<TokenReservation> reservation_;
   Tokens used_tokens_ = 0;
 
   // State of the current dispatch.
