--- a/core/load/placement.h
+++ b/core/load/placement.h
@@ -69,7 +69,6 @@
   // Slowdown above which samples of the speed are not taken from streams that
   // may lie mostly in the spell.
   double max_sample_slowdown = 1.15;
-  // Learned speeds are used and exchanged.
   ServerSpeedOptions speed;
   // Age at which the weight of a load report is halved.
   Millis report_half_life{1000};
