--- a/core/load/placement.h
+++ b/core/load/placement.h
@@ -69,7 +69,6 @@
   // Slowdown above which samples of the speed are not taken from streams that
   // may lie mostly in the spell.
   double max_sample_slowdown = 1.15;
-  // Learned speeds are used and exchanged.
   ServerSpeedOptions speed;
   // Age at which the weight of a load report is halved.
   Millis report_half_life{1000};
@@ -82,6 +81,10 @@
   // Cost of leaving the router's own failure domain; traffic between domains
   // is charged for.
   double ms_per_cross_domain = 2;
+  // Difference in cost up to which a server to which this host has an idle
+  // connection is preferred; the delay by one running request. A new connection
+  // costs a round trip and processor time on both sides.
+  double near_cost_ms = 4;
   // Maximum number of cached prompt parts tracked for each server, and how long
   // a part is assumed to be cached after its last use.
   std::size_t max_cached_parts = 256;
@@ -248,6 +251,12 @@
   void SetDispatchObserver(DispatchObserver observer) {
     dispatch_observer_ = std::move(observer);
   }
+  // Sets a hook that tells whether this host has an idle connection to the
+  // address. Without it, connections do not matter.
+  void SetHasIdleConnection(
+      std::function<bool(const std::string& address)> hook) {
+    has_idle_connection_ = std::move(hook);
+  }
   // Servers in these failure domains get nothing.
   void SetEvacuatedDomains(std::set<std::string> domains) {
     evacuated_domains_ = std::move(domains);
@@ -371,6 +380,7 @@
   std::function<void()> on_load_change_;
   MayPlace may_place_;
   DispatchObserver dispatch_observer_;
+  std::function<bool(const std::string& address)> has_idle_connection_;
   std::set<std::string> evacuated_domains_;
   // Time of the last report from any peer.
   std::optional<Millis> last_peer_load_;
