--- a/tests/process/platform_standin.cc
+++ b/tests/process/platform_standin.cc
@@ -209,6 +209,12 @@
                std::atoi(how.substr(dash + 1).c_str()));
     return;
   }
+  constexpr std::string_view kBytes = "bytes";
+  if (how.starts_with(kBytes)) {
+    out.SendResponse(200, ResponseHeaders(id),
+                     std::string(std::stoul(how.substr(kBytes.size())), 'x'));
+    return;
+  }
   QTimer::singleShot(std::atoi(how.c_str()), &context_, [out, id]() mutable {
     out.SendResponse(200, ResponseHeaders(id), "booked");
   });
--- a/tests/process/platform_standin.h
+++ b/tests/process/platform_standin.h
@@ -48,7 +48,8 @@
 };
 
 // A server of one service. The last component of a request's path says how to
-// answer: "<events>-<ms between them>" for a stream, "<ms>" for an order.
+// answer: "<events>-<ms between them>" for a stream, "<ms>" for an order,
+// "bytes<n>" for a response of that size.
 class PlatformServer {
  public:
   PlatformServer(PlatformStore* store, std::string service, std::string id);
--- a/tests/process/process.h
+++ b/tests/process/process.h
@@ -49,6 +49,7 @@
   // call.
   std::string TakeOutput();
   bool IsRunning() const;
+  std::int64_t pid() const { return process_.processId(); }
   // Waits for the process to end. Returns its exit status, or -1 if it was
   // killed or is still running.
   int WaitExit(Millis timeout);
