Bound memory and descriptors under uncontrolled clients

Cause: the buffers that clients and servers make grow had no common bound, a body was held up to three times, and connections were not bounded. Reading stops first, then connections without a running request yield, the longest idle and largest first. Bodies are shared buffers, sent with sendmsg. Unread streams stop the reading of their server. max_descriptors bounds callers' connections. Without memory_mb and max_descriptors nothing is bounded, as before. http_server_test.cc reads the body through str(), since it is not a std::string any more; its checks are unchanged.

--- a/app/forwarding.cc
+++ b/app/forwarding.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <optional>
 #include <set>
 #include <utility>
@@ -44,6 +45,11 @@
 // may have passed. The caller's next connection may reach another host.
 constexpr Millis kReadLateRetryAfter{50};
 
+// Bytes of a stream that are held for a caller that reads slowly, in calm and
+// while memory is short. Above it, the server is not read.
+constexpr std::size_t kStreamBufferBytes = 256 << 10;
+constexpr std::size_t kShortStreamBufferBytes = 32 << 10;
+
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
@@ -97,7 +103,8 @@
         headers_(request.headers),
         body_(request.body),
         unread_time_(request.unread_time),
-        arrived_at_(context_->loop.now() - request.unread_time) {}
+        arrived_at_(context_->loop.now() - request.unread_time),
+        response_charge_(context_->memory) {}
 
   void Start() {
     try {
@@ -337,7 +344,7 @@
     status_ = 0;
     is_sealed_ = false;
     not_executed_ = false;
-    response_body_.clear();
+    ReleaseResponse();
     event_splitter_ = {};
     auto headers = platform::FilterRequestHeaders(headers_);
     platform::AddDispatchHeaders(
@@ -396,6 +403,7 @@
          .on_data = if_current([](ForwardedRequest& self, std::string_view it) {
            self.OnData(it);
          }),
+         .may_read = [self = shared_from_this()] { return self->MayRead(); },
          .on_end =
              [self = shared_from_this(),
               on_end = if_current([](ForwardedRequest& self, HttpResult it) {
@@ -431,6 +439,10 @@
                                         response.load->waiting, now);
     }
     response_headers_ = platform::FilterResponseHeaders(headers);
+    stated_length_ = 0;
+    const auto length = FindHeader(headers, "Content-Length");
+    std::from_chars(length.data(), length.data() + length.size(),
+                    stated_length_);
     if (IsSuccess(status) && !response.has_seal) {
       return;
     }
@@ -470,7 +482,7 @@
     may_have_run_ = true;
     EndDispatch(DispatchResult::kFailed, end);
     call_.Cancel();
-    response_body_ = {};
+    ReleaseResponse();
     event_splitter_ = {};
     Retry(true, reason);
   }
@@ -480,6 +492,25 @@
            is_sealed_;
   }
 
+  // Whether the response may be read on; see MemoryHooks.
+  bool MayRead() {
+    if (!context_->memory || is_done_) {
+      return true;
+    }
+    if (!IsStreamingResponse()) {
+      return response_charge_.MayRead();
+    }
+    const bool may_read =
+        reply_.unsent_bytes() < (context_->memory->may_read(kStreamBufferBytes)
+                                     ? kStreamBufferBytes
+                                     : kShortStreamBufferBytes);
+    if (!may_read) {
+      // The caller is slow, not the server.
+      last_event_at_ = context_->loop.now();
+    }
+    return may_read;
+  }
+
   void OnData(std::string_view bytes) {
     if (!IsStreamingResponse()) {
       if (response_body_.size() + bytes.size() >
@@ -487,7 +518,13 @@
         AbandonServer(HttpResult::kTooLarge, "answer_too_large");
         return;
       }
+      if (response_body_.empty()) {
+        // Avoids copies that growth would make.
+        response_body_.reserve(
+            std::min(stated_length_, context_->limits.max_buffered_bytes));
+      }
       response_body_ += bytes;
+      response_charge_.Set(response_body_.size());
       return;
     }
     for (const auto& event : event_splitter_.Add(bytes)) {
@@ -512,6 +549,11 @@
     }
   }
 
+  void ReleaseResponse() {
+    response_body_ = {};
+    response_charge_.Set(0);
+  }
+
   // The server survives the beginning of its response to this prompt.
   void OnServed() {
     if (!std::exchange(has_event_, true) && context_->quarantine != nullptr &&
@@ -755,6 +797,7 @@
 
   void Finish(std::string_view outcome, int status) {
     is_done_ = true;
+    ReleaseResponse();
     Settle();
     const Millis now = context_->loop.now();
     context_->metrics->IncrementCounter("requests", "outcome",
@@ -801,7 +844,7 @@
   const std::string target_;
   const std::string path_;
   const HttpHeaders headers_;
-  const std::string body_;
+  const SharedBytes body_;
   const Millis unread_time_;
   const Millis arrived_at_;
   Millis deadline_{0};
@@ -828,7 +871,9 @@
   bool is_sealed_ = false;
   bool not_executed_ = false;
   HttpHeaders response_headers_;
+  std::size_t stated_length_ = 0;
   std::string response_body_;
+  ResponseCharge response_charge_;
   platform::StreamEventSplitter event_splitter_;
 
   std::set<std::string> tried_servers_;
--- a/app/forwarding.h
+++ b/app/forwarding.h
@@ -13,6 +13,7 @@
 #include "core/retry_budget.h"
 #include "io/http_client.h"
 #include "io/http_server.h"
+#include "io/memory_charge.h"
 #include "src/event_loop.h"
 #include "src/grant_table.h"
 #include "src/metrics.h"
@@ -44,6 +45,8 @@
   Placement* placement = nullptr;
   RetryBudget* retry_budget = nullptr;
   Metrics* metrics = nullptr;
+  // Null if memory is not bounded.
+  std::shared_ptr<const MemoryHooks> memory;
   // May be null.
   PromptQuarantine* quarantine = nullptr;
   // Returns the active routing table, or null until the first one is loaded.
--- a/app/front.cc
+++ b/app/front.cc
@@ -8,6 +8,7 @@
 #include <optional>
 #include <utility>
 
+#include "app/caller_memory.h"
 #include "app/desired_state_follower.h"
 #include "app/forwarding.h"
 #include "app/holder_recovery.h"
@@ -183,6 +184,9 @@
                       .ratio = settings.retry_ratio * kRetryLimitFraction}),
         rotation_policy({}, settings.link_mbps * kBytesPerMegabit),
         loop_lag({}, BootNow()),
+        caller_memory({.memory_mb = settings.memory_mb,
+                       .max_descriptors = settings.max_descriptors},
+                      &metrics_registry),
         holder(MakeHolderId(settings.host_name)),
         start_stamp(MakeStamp()) {}
 
@@ -202,6 +206,7 @@
   RetryBudget retry_budget;
   RotationPolicy rotation_policy;
   LoopLag loop_lag;
+  CallerMemory caller_memory;
   const HolderId holder;
   const HostStamp start_stamp;
   std::unique_ptr<DesiredStateFollower> follower;
@@ -415,6 +420,7 @@
     caller_options.unread_time = [this] {
       return loop_lag.MaxUnreadTime(loop.now());
     };
+    caller_memory.Apply(caller_options);
     caller_server = std::make_unique<HttpServer>(
         caller_options,
         [this](const IncomingRequest& request, HttpReply reply) {
@@ -431,7 +437,9 @@
         [this](const IncomingRequest&, HttpReply reply) {
           reply.SendResponse(200,
                              {{"Content-Type", "text/plain; version=0.0.4"}},
-                             metrics_registry.PrometheusText());
+                             metrics_registry.PrometheusText() +
+                                 caller_memory.PrometheusText(
+                                     caller_server->open_connections()));
         });
     LogLine(LogEvent::kStarted)
         .Add("host", settings.host_name)
@@ -760,6 +768,7 @@
     };
     context->metrics = &metrics_registry;
     context->quarantine = quarantine.get();
+    context->memory = caller_memory.hooks();
     context->random = &RandomDouble;
   }
 
--- a/io/http_client.cc
+++ b/io/http_client.cc
@@ -55,7 +55,8 @@
   return target;
 }
 
-std::string Serialize(const HttpRequest& request, const Target& target) {
+// Returns all but the body.
+std::string SerializeHead(const HttpRequest& request, const Target& target) {
   std::string bytes = request.method;
   bytes.append(" ").append(target.path).append(" HTTP/1.1\r\n");
   const auto add = [&bytes](std::string_view name, std::string_view value) {
@@ -73,7 +74,6 @@
     add("Content-Length", std::to_string(request.body.size()));
   }
   bytes += "\r\n";
-  bytes += request.body;
   return bytes;
 }
 
@@ -156,6 +156,7 @@
         authority_(std::move(authority)),
         socket_({.on_connected = [this] { OnConnected(); },
                  .on_bytes = [this](auto bytes) { OnBytes(bytes); },
+                 .may_read = [this] { return MayRead(); },
                  .on_end = [this](TcpCloseReason end) { OnSocketEnd(end); }}) {
     timer_.setSingleShot(true);
     connect(&timer_, &QTimer::timeout, this, [this] { OnTimer(); });
@@ -168,7 +169,8 @@
              std::shared_ptr<HttpCall::State> call) {
     call_ = std::move(call);
     call_->connection = this;
-    request_bytes_ = Serialize(request, target);
+    request_head_ = SerializeHead(request, target);
+    request_body_ = request.body;
     first_byte_timeout_ = request.first_byte_timeout;
     stall_timeout_ = request.stall_timeout;
     total_deadline_ = request.total_timeout.count() > 0
@@ -259,8 +261,8 @@
     is_sent_ = true;
     has_response_ = false;
     StartTimer(first_byte_timeout_);
-    socket_.Write(request_bytes_);
-    request_bytes_.clear();
+    socket_.Write(std::exchange(request_head_, {}),
+                  std::exchange(request_body_, {}));
   }
 
   void StartTimer(Millis timeout) {
@@ -320,6 +322,15 @@
     }
   }
 
+  // Without a call, a read shows that the server has closed the connection.
+  bool MayRead() const {
+    if (!call_ || is_withdrawn_ || !call_->hooks->may_read) {
+      return true;
+    }
+    const auto hooks = call_->hooks;
+    return hooks->may_read();
+  }
+
   void OnBytes(std::string_view bytes) {
     if (!call_) {
       // Unsolicited data: the connection cannot be reused.
@@ -336,14 +347,23 @@
       has_response_ = true;
       StartTimer(stall_timeout_);
     }
-    buffer_ += bytes;
-    ParseBuffer();
-  }
-
-  void ParseBuffer() {
+    Parse(bytes);
+  }
+
+  // Parses the buffered bytes and `more`. Only what the parser cannot consume
+  // yet is buffered.
+  void Parse(std::string_view more) {
+    std::string all;
+    auto rest = more;
+    if (!buffer_.empty()) {
+      all = std::exchange(buffer_, {});
+      all += more;
+      rest = all;
+    }
     while (call_) {
-      const auto result = parser_->Parse(buffer_);
-      buffer_.erase(0, result.used);
+      const auto result = parser_->Parse(rest);
+      rest.remove_prefix(result.used);
+      buffer_ = rest;
       if (result.state == ParseState::kHeaderTooLarge ||
           buffer_.size() > kMaxUnparsedBytes) {
         Finish(HttpResult::kTooLarge);
@@ -441,7 +461,8 @@
   QTimer timer_;
   std::shared_ptr<HttpCall::State> call_;
   std::unique_ptr<HttpResponseParser> parser_;
-  std::string request_bytes_;
+  SharedBytes request_head_;
+  SharedBytes request_body_;
   std::string buffer_;
   Millis first_byte_timeout_{0};
   Millis stall_timeout_{0};
--- a/io/http_client.h
+++ b/io/http_client.h
@@ -8,6 +8,7 @@
 #include <string_view>
 
 #include "io/http_message.h"
+#include "io/shared_bytes.h"
 #include "src/types.h"
 
 // Defines the HTTP/1.1 client used for backend servers and the platform.
@@ -19,7 +20,7 @@
   // "http://<IP address>:<port><target>"; the target is sent unchanged.
   std::string url;
   HttpHeaders headers;
-  std::string body;
+  SharedBytes body;
   // Timeout for establishing a new connection.
   Millis connect_timeout{5000};
   // Timeout for the first byte of the response.
@@ -62,6 +63,8 @@
   std::function<bool(int status, const HttpHeaders&)> accepts_response;
   std::function<void(int status, const HttpHeaders&)> on_headers;
   std::function<void(std::string_view)> on_data;
+  // Asked before each read of the response; see TcpSocketHooks. May be empty.
+  std::function<bool()> may_read;
   // Called exactly once, as the last hook, unless the client is destroyed
   // first.
   std::function<void(HttpResult)> on_end;
--- a/io/http_parser.cc
+++ b/io/http_parser.cc
@@ -20,6 +20,10 @@
 constexpr std::size_t kMaxResponseHeaderBytes = 64 << 10;
 constexpr int kFirstFinalStatus = 200;
 
+// What a header field takes beside its text: two strings, and room that the
+// list keeps for growth.
+constexpr std::size_t kFieldBytes = 2 * sizeof(HttpHeaders::value_type);
+
 ParseState ToParseState(const ErrorCode& ec, bool done) {
   if (!ec) {
     return done ? ParseState::kDone : ParseState::kNeedsMore;
@@ -77,6 +81,7 @@
 
   HttpRequestHead head;
   std::string body;
+  std::size_t head_bytes = 0;
 
  private:
   void on_request_impl(http::verb,
@@ -93,6 +98,7 @@
                      beast::string_view value,
                      ErrorCode&) override {
     head.headers.emplace_back(ToString(name), ToString(value));
+    head_bytes += kFieldBytes + name.size() + value.size();
   }
   void on_header_impl(ErrorCode& ec) override {
     head.keep_alive = keep_alive();
@@ -142,6 +148,14 @@
   return impl_->head;
 }
 
+std::size_t HttpRequestParser::head_bytes() const {
+  return impl_->head_bytes;
+}
+
+std::size_t HttpRequestParser::body_bytes() const {
+  return impl_->body.size();
+}
+
 std::string HttpRequestParser::TakeBody() {
   return std::move(impl_->body);
 }
--- a/io/http_parser.h
+++ b/io/http_parser.h
@@ -59,6 +59,10 @@
 
   bool is_head_done() const;
   const HttpRequestHead& head() const;
+  // Estimate of the memory that the head takes.
+  std::size_t head_bytes() const;
+  // Number of bytes of the body so far.
+  std::size_t body_bytes() const;
   // Complete once the state is kDone.
   std::string TakeBody();
 
--- a/io/http_server.cc
+++ b/io/http_server.cc
@@ -2,6 +2,7 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -14,9 +15,12 @@
 #include <cerrno>
 #include <charconv>
 #include <cstring>
+#include <functional>
+#include <iterator>
 #include <optional>
 #include <set>
 #include <utility>
+#include <vector>
 
 #include "io/http_parser.h"
 #include "src/log.h"
@@ -35,6 +39,35 @@
 // shows that the caller has disconnected.
 constexpr std::size_t kMaxPipelinedBytes = 256 << 10;
 
+// Size of Qt's read buffer of a connection if its memory is charged: before the
+// end of a request's head and while reading has stopped, and within a body.
+constexpr qint64 kSmallReadBytes = 4 << 10;
+constexpr qint64 kBodyReadBytes = 16 << 10;
+
+// Estimate of what an idle connection takes beside its buffers.
+constexpr std::size_t kConnectionBytes = 8 << 10;
+
+// The next request of a connection waits while more than this of the previous
+// responses is unsent, if memory is charged.
+constexpr qint64 kMaxUnsentBeforeNext = 256 << 10;
+
+// Responses of more than this are not copied to be sent with their head.
+constexpr std::size_t kMaxCopiedBody = 64 << 10;
+
+// While reading is stopped for some connections: interval at which they are
+// tried again, and time after which others yield even if the account is not
+// full.
+constexpr Millis kReliefInterval{50};
+constexpr Millis kPauseTime{200};
+constexpr int kYieldRetryAfterSeconds = 1;
+
+// A connection that has been idle for less than this is not closed in favour of
+// a new one; its first request may be on its way.
+constexpr Millis kMinIdleTime{100};
+// Fraction of the connections that are closed at once, so that they are not
+// searched again for each new one.
+constexpr std::size_t kClosedFraction = 32;
+
 // A connection whose data stays unacknowledged for this long is closed
 // (TCP_USER_TIMEOUT), so that a partitioned caller does not keep its request in
 // flight for minutes.
@@ -162,13 +195,16 @@
 }
 
 // A complete error response, after which the connection is closed.
-std::string FinalErrorResponse(const RequestError& error) {
+std::string FinalErrorResponse(const RequestError& error,
+                               int retry_after_seconds = 0) {
   const std::string body = ErrorBody(error);
-  return FormatHead(StatusLine(error.http_status()),
-                    {{"Content-Type", "application/json"},
-                     {"Content-Length", std::to_string(body.size())},
-                     {"Connection", "close"}}) +
-         body;
+  HttpHeaders headers{{"Content-Type", "application/json"},
+                      {"Content-Length", std::to_string(body.size())},
+                      {"Connection", "close"}};
+  if (retry_after_seconds > 0) {
+    headers.emplace_back("Retry-After", std::to_string(retry_after_seconds));
+  }
+  return FormatHead(StatusLine(error.http_status()), headers) + body;
 }
 
 // Returns the request's Content-Length, or 0 if it has none.
@@ -179,7 +215,13 @@
   return n;
 }
 
-IncomingRequest MakeIncoming(const HttpRequestHead& head, std::string body) {
+RequestError MemoryFull() {
+  return {503, Outcome::kNotRun, "memory_full",
+          "the router's memory for unfinished requests is full",
+          "send the request again after the given time"};
+}
+
+IncomingRequest MakeIncoming(const HttpRequestHead& head, SharedBytes body) {
   const auto question_mark =
       std::min(head.target.find('?'), head.target.size());
   return {.method = head.method,
@@ -203,8 +245,13 @@
                    const HttpLimits* limits,
                    RefuseAtHead refuse_at_head,
                    OnRequest on_request,
-                   std::function<void(CallerConnection*)> on_closed)
-      : limits_(limits),
+                   std::function<void(CallerConnection*)> on_closed,
+                   std::shared_ptr<const MemoryHooks> memory,
+                   std::function<void()> on_paused)
+      : memory_(std::move(memory)),
+        charge_(memory_),
+        on_paused_(std::move(on_paused)),
+        limits_(limits),
         refuse_at_head_(std::move(refuse_at_head)),
         on_request_(std::move(on_request)),
         on_closed_(std::move(on_closed)) {
@@ -221,6 +268,12 @@
         &socket_, &QTcpSocket::disconnected, this, [this] { CloseNow(); },
         Qt::QueuedConnection);
     deadline_ = SteadyNow() + limits_->idle_timeout;
+    last_progress_ = SteadyNow();
+    if (memory_) {
+      socket_.setReadBufferSize(kSmallReadBytes);
+      connect(&socket_, &QTcpSocket::bytesWritten, this, [this] { OnSent(); });
+      UpdateCharge();
+    }
   }
 
   bool is_valid() const { return is_valid_; }
@@ -233,7 +286,53 @@
     return !is_closing_ && socket_.state() == QAbstractSocket::ConnectedState;
   }
   qint64 unsent_bytes() const { return socket_.bytesToWrite(); }
-  bool HasEnded() const { return Peek() == PeekResult::kEnded; }
+  bool HasEnded() const {
+    return Peek() == PeekResult::kEnded || (memory_ && IsHungUp());
+  }
+  bool is_paused() const { return is_paused_; }
+  bool can_yield() const { return !is_responding_; }
+  Millis idle_time(Millis now) const {
+    return is_paused_ ? Millis{0} : now - last_progress_;
+  }
+  HeldMemory Held(Millis now) const {
+    return {charge_.bytes(), idle_time(now)};
+  }
+  std::string Address() const {
+    return fmt::format("{}:{}", socket_.peerAddress().toString().toStdString(),
+                       socket_.peerPort());
+  }
+
+  // Limits what is read ahead of the next decision.
+  void ShrinkReadBuffer() { socket_.setReadBufferSize(kSmallReadBytes); }
+
+  // Reads on if the account allows it.
+  void TryResume() {
+    if (is_paused_ && !is_closing_) {
+      OnBytes();
+    }
+  }
+
+  // Frees the memory: refuses the unfinished request, or closes. Returns
+  // whether the caller gets a refusal.
+  bool Yield() {
+    const bool has_begun =
+        parser_ || !buffer_.empty() || socket_.bytesAvailable() > 0;
+    if (!has_begun || is_closing_ || socket_.bytesToWrite() > 0) {
+      CloseNow();
+      return false;
+    }
+    is_paused_ = false;
+    parser_.reset();
+    std::string().swap(buffer_);
+    const bool is_sent =
+        Send(FinalErrorResponse(MemoryFull(), kYieldRetryAfterSeconds));
+    if (is_sent) {
+      CloseGracefully();
+      socket_.readAll();
+    }
+    UpdateCharge();
+    return is_sent;
+  }
 
   void OnConnectionLost(std::function<void()> hook) {
     on_connection_lost_ = std::move(hook);
@@ -244,19 +343,26 @@
   bool Send(std::string_view bytes) {
     socket_.write(bytes.data(), static_cast<qint64>(bytes.size()));
     socket_.flush();
+    UpdateCharge();
     return IsConnected();
   }
 
+  bool Send(std::string_view head, std::string_view body) {
+    socket_.write(head.data(), static_cast<qint64>(head.size()));
+    socket_.write(body.data(), static_cast<qint64>(body.size()));
+    socket_.flush();
+    return Send({});
+  }
+
   // The response has ended; the next request may follow.
   void FinishResponse() {
     on_connection_lost_ = {};
     is_responding_ = false;
-    deadline_ = SteadyNow() + limits_->idle_timeout;
-    if (!buffer_.empty()) {
-      // Deferred, so that no request is handled inside the call that ended the
-      // response.
-      QTimer::singleShot(0, this, [this] { Parse(); });
-    }
+    last_progress_ = SteadyNow();
+    deadline_ = last_progress_ + limits_->idle_timeout;
+    running_head_bytes_ = 0;
+    UpdateCharge();
+    ContinueLater();
   }
 
   // Sends the buffered data, shuts down the sending side and waits for the
@@ -277,6 +383,10 @@
     disconnect(&socket_, nullptr, this, nullptr);
     socket_.abort();
     is_closing_ = true;
+    is_paused_ = false;
+    parser_.reset();
+    std::string().swap(buffer_);
+    charge_.Set(0);
     deleteLater();
     if (const auto on_connection_lost =
             std::exchange(on_connection_lost_, {})) {
@@ -288,6 +398,13 @@
   }
 
   void CheckTimeout(Millis now) {
+    // Nothing is read while reading has stopped, so that the event loop does
+    // not notice the end of the connection.
+    const bool is_unread = is_paused_ || is_responding_;
+    if (memory_ && is_unread && socket_.bytesAvailable() > 0 && IsHungUp()) {
+      CloseNow();
+      return;
+    }
     if (is_responding_ || now < deadline_) {
       return;
     }
@@ -310,6 +427,81 @@
     return is_open ? PeekResult::kNothing : PeekResult::kEnded;
   }
 
+  // True if the caller has closed its side, even if it has sent unread data
+  // before.
+  bool IsHungUp() const {
+    pollfd it{static_cast<int>(socket_.socketDescriptor()), POLLRDHUP, 0};
+    return ::poll(&it, 1, 0) > 0;
+  }
+
+  void UpdateCharge() {
+    if (!memory_ || (is_closing_ && !IsOpenSocket())) {
+      return;
+    }
+    const auto unsent = static_cast<std::size_t>(socket_.bytesToWrite());
+    // Qt frees a block of its write buffer only when all of it is sent.
+    unsent_peak_ = unsent == 0 ? 0 : std::max(unsent_peak_, unsent);
+    charge_.Set(kConnectionBytes + buffer_.capacity() + unsent_peak_ +
+                static_cast<std::size_t>(socket_.bytesAvailable()) +
+                running_head_bytes_ +
+                (parser_ ? parser_->head_bytes() + parser_->body_bytes() : 0));
+  }
+
+  bool IsOpenSocket() const {
+    return socket_.state() == QAbstractSocket::ConnectedState;
+  }
+
+  void OnSent() {
+    last_progress_ = SteadyNow();
+    UpdateCharge();
+    if (is_waiting_to_send_ && socket_.bytesToWrite() <= kMaxUnsentBeforeNext) {
+      is_waiting_to_send_ = false;
+      ContinueLater();
+    }
+  }
+
+  // Handles what has arrived meanwhile. Deferred, so that no request is handled
+  // inside the call that ended the response.
+  void ContinueLater() {
+    if (buffer_.empty() && socket_.bytesAvailable() == 0) {
+      return;
+    }
+    QTimer::singleShot(0, this, [this] {
+      Parse({});
+      if (memory_ && !is_responding_ && !is_closing_ &&
+          socket_.bytesAvailable() > 0) {
+        OnBytes();
+      }
+    });
+  }
+
+  // Returns false if nothing may be read now.
+  bool MayRead() {
+    if (!memory_) {
+      return true;
+    }
+    if (is_responding_) {
+      UpdateCharge();
+      return false;
+    }
+    if (socket_.bytesToWrite() > kMaxUnsentBeforeNext) {
+      is_waiting_to_send_ = true;
+      UpdateCharge();
+      return false;
+    }
+    if (!memory_->may_read(charge_.bytes() - kConnectionBytes)) {
+      ShrinkReadBuffer();
+      UpdateCharge();
+      if (!std::exchange(is_paused_, true)) {
+        on_paused_();
+      }
+      return false;
+    }
+    is_paused_ = false;
+    last_progress_ = SteadyNow();
+    return true;
+  }
+
   void ShutDownWhenSent() {
     if (socket_.bytesToWrite() == 0) {
       ::shutdown(static_cast<int>(socket_.socketDescriptor()), SHUT_WR);
@@ -317,22 +509,30 @@
   }
 
   void OnBytes() {
-    const auto bytes = socket_.readAll();
     if (is_closing_) {
+      socket_.readAll();
+      return;
+    }
+    if (!MayRead()) {
       return;
     }
-    buffer_.append(bytes.data(), static_cast<std::size_t>(bytes.size()));
+    const auto bytes = socket_.readAll();
+    const std::string_view view(bytes.data(),
+                                static_cast<std::size_t>(bytes.size()));
     if (is_responding_) {
+      buffer_.append(view);
       if (buffer_.size() > kMaxPipelinedBytes) {
         CloseNow();
       }
       return;
     }
-    Parse();
+    Parse(view);
   }
 
-  void Parse() {
-    if (is_responding_ || is_closing_ || buffer_.empty()) {
+  // Parses the buffered bytes and `more`. Bytes that the parser has consumed
+  // are not buffered, so that a body is held once.
+  void Parse(std::string_view more) {
+    if (is_responding_ || is_closing_ || (buffer_.empty() && more.empty())) {
       return;
     }
     if (!parser_) {
@@ -342,8 +542,22 @@
       deadline_ = request_start_ + limits_->header_timeout;
     }
     const bool had_head = parser_->is_head_done();
-    const auto result = parser_->Parse(buffer_);
-    buffer_.erase(0, result.used);
+    if (!buffer_.empty()) {
+      buffer_.append(more);
+    }
+    const auto result = parser_->Parse(buffer_.empty() ? more : buffer_);
+    if (buffer_.empty()) {
+      buffer_ = more.substr(result.used);
+    } else {
+      buffer_.erase(0, result.used);
+      if (buffer_.empty()) {
+        std::string().swap(buffer_);
+      }
+    }
+    if (memory_ && parser_->is_head_done() && !had_head) {
+      socket_.setReadBufferSize(kBodyReadBytes);
+    }
+    UpdateCharge();
     if (!had_head && parser_->is_head_done()) {
       if (const auto response = refuse_at_head_(parser_->head())) {
         SendLast(*response);
@@ -381,7 +595,18 @@
   void Handle() {
     is_responding_ = true;
     const auto parser = std::move(parser_);
-    on_request_(*this, MakeIncoming(parser->head(), parser->TakeBody()));
+    if (memory_) {
+      ShrinkReadBuffer();
+      // The request and the forwarded one have a copy each.
+      running_head_bytes_ = 2 * parser->head_bytes();
+      UpdateCharge();
+    }
+    auto body = parser->TakeBody();
+    MemoryCharge charge(memory_);
+    charge.Set(body.capacity());
+    on_request_(*this,
+                MakeIncoming(parser->head(),
+                             SharedBytes(std::move(body), std::move(charge))));
   }
 
   void Reject(const RequestError& error) {
@@ -407,6 +632,10 @@
     }
   }
 
+  // Null if memory is not charged.
+  std::shared_ptr<const MemoryHooks> memory_;
+  MemoryCharge charge_;
+  std::function<void()> on_paused_;
   const HttpLimits* limits_;
   RefuseAtHead refuse_at_head_;
   OnRequest on_request_;
@@ -417,6 +646,13 @@
   std::function<void()> on_connection_lost_;
   Millis request_start_{0};
   Millis deadline_{0};
+  Millis last_progress_{0};
+  std::size_t unsent_peak_ = 0;
+  std::size_t running_head_bytes_ = 0;
+  // Reading has stopped, since the memory is short.
+  bool is_paused_ = false;
+  // Reading has stopped until more of the last response is sent.
+  bool is_waiting_to_send_ = false;
   bool is_valid_ = false;
   bool is_responding_ = false;
   bool is_closing_ = false;
@@ -487,8 +723,8 @@
   // Sends the last bytes of the response. Keeps the connection for the next
   // request unless it must be closed. If the bytes cannot be sent, the request
   // ends in OnConnectionLost instead.
-  void SendLast(std::string_view bytes) {
-    if (!socket->Send(bytes)) {
+  void SendLast(std::string_view bytes, std::string_view body = {}) {
+    if (!(body.empty() ? socket->Send(bytes) : socket->Send(bytes, body))) {
       return;
     }
     open_request.reset();
@@ -521,10 +757,13 @@
   HttpHeaders all = headers;
   all.emplace_back("Content-Length", std::to_string(body.size()));
   auto bytes = state_->Head(status, std::move(all));
-  if (!state_->is_head) {
+  if (state_->is_head) {
+    body = {};
+  } else if (body.size() <= kMaxCopiedBody) {
     bytes += body;
+    body = {};
   }
-  state_->SendLast(bytes);
+  state_->SendLast(bytes, body);
 }
 
 void HttpReply::SendError(const RequestError& error) {
@@ -589,6 +828,11 @@
   return state_ && state_->IsOpen();
 }
 
+std::size_t HttpReply::unsent_bytes() const {
+  return IsOpen() ? static_cast<std::size_t>(state_->socket->unsent_bytes())
+                  : 0;
+}
+
 bool HttpReply::HasCallerLeft() const {
   return !IsOpen() || state_->socket->HasEnded();
 }
@@ -599,6 +843,9 @@
       : handler_(std::move(handler)),
         unread_time_(options.unread_time),
         refuse_at_head_(options.refuse_at_head),
+        memory_(options.memory),
+        max_connections_(options.max_connections),
+        on_yield_(options.on_yield),
         listener_([this](qintptr it) { Accept(it); }) {
     Descriptor descriptor(OpenListener(options));
     if (!listener_.setSocketDescriptor(descriptor.get())) {
@@ -613,6 +860,9 @@
     limits_.request_timeout = options.request_timeout;
     limits_.header_timeout = options.request_timeout;
     QObject::connect(&sweep_, &QTimer::timeout, &sweep_, [this] { Sweep(); });
+    relief_.setInterval(kReliefInterval);
+    QObject::connect(&relief_, &QTimer::timeout, &relief_,
+                     [this] { Relieve(); });
     StartSweep();
   }
 
@@ -664,6 +914,11 @@
 
  private:
   void Accept(qintptr descriptor) {
+    if (max_connections_ > 0 && sockets_.size() >= max_connections_ &&
+        !CloseLongestIdle()) {
+      ::close(static_cast<int>(descriptor));
+      return;
+    }
     auto* socket = new CallerConnection(
         descriptor, &limits_,
         [this](const HttpRequestHead& it) {
@@ -673,7 +928,8 @@
         [this](CallerConnection& it, IncomingRequest request) {
           Handle(it, std::move(request));
         },
-        [this](CallerConnection* it) { sockets_.erase(it); });
+        [this](CallerConnection* it) { sockets_.erase(it); }, memory_,
+        [this] { OnPaused(); });
     if (!socket->is_valid()) {
       ::close(static_cast<int>(descriptor));
       delete socket;
@@ -682,6 +938,90 @@
     sockets_.insert(socket);
   }
 
+  // Closes connections that have been idle longest. Returns false if there are
+  // none.
+  bool CloseLongestIdle() {
+    const Millis now = SteadyNow();
+    std::vector<CallerConnection*> idle;
+    std::ranges::copy_if(sockets_, std::back_inserter(idle), [now](auto* it) {
+      return it->can_yield() && it->idle_time(now) >= kMinIdleTime;
+    });
+    const auto n =
+        std::min(idle.size(), max_connections_ / kClosedFraction + 1);
+    std::ranges::partial_sort(
+        idle, idle.begin() + static_cast<std::ptrdiff_t>(n), std::greater(),
+        [now](const auto* it) { return it->idle_time(now); });
+    for (std::size_t i = 0; i < n; ++i) {
+      const auto held = idle[i]->Held(now);
+      auto address = idle[i]->Address();
+      idle[i]->CloseNow();
+      ReportYield(
+          {std::move(address), "connections", false, held.bytes, held.idle});
+    }
+    return n > 0;
+  }
+
+  void ReportYield(const YieldedCaller& it) {
+    if (on_yield_) {
+      on_yield_(it);
+    }
+  }
+
+  void OnPaused() {
+    if (relief_.isActive()) {
+      return;
+    }
+    paused_since_ = SteadyNow();
+    for (auto* it : sockets_) {
+      it->ShrinkReadBuffer();
+    }
+    relief_.start();
+  }
+
+  // Resumes reading where the account allows it. If some still have to wait,
+  // those that hold much and have been idle long yield.
+  void Relieve() {
+    ResumePaused();
+    if (!IsPaused()) {
+      relief_.stop();
+      return;
+    }
+    if (memory_->is_full() || SteadyNow() - paused_since_ >= kPauseTime) {
+      YieldMemory();
+      paused_since_ = SteadyNow();
+      ResumePaused();
+    }
+  }
+
+  bool IsPaused() const {
+    return std::ranges::any_of(sockets_,
+                               [](auto* it) { return it->is_paused(); });
+  }
+
+  void ResumePaused() {
+    for (auto* it : std::set(sockets_)) {
+      it->TryResume();
+    }
+  }
+
+  void YieldMemory() {
+    const Millis now = SteadyNow();
+    std::vector<CallerConnection*> able;
+    std::vector<HeldMemory> held;
+    for (auto* it : sockets_) {
+      if (it->can_yield()) {
+        able.push_back(it);
+        held.push_back(it->Held(now));
+      }
+    }
+    for (const auto i : memory_->choose_yielding(held)) {
+      auto address = able[i]->Address();
+      const bool is_refused = able[i]->Yield();
+      ReportYield({std::move(address), "memory", is_refused, held[i].bytes,
+                   held[i].idle});
+    }
+  }
+
   void Handle(CallerConnection& socket, IncomingRequest request) {
     if (unread_time_) {
       request.unread_time = unread_time_();
@@ -724,6 +1064,10 @@
     for (auto* it : std::set(sockets_)) {
       it->CheckTimeout(now);
     }
+    // Responses may fill the memory while no caller waits to be read.
+    if (memory_ && memory_->is_full() && !relief_.isActive()) {
+      YieldMemory();
+    }
   }
 
   HttpHandler handler_;
@@ -731,10 +1075,15 @@
   std::function<std::optional<EarlyResponse>(const HttpRequestHead&,
                                              std::size_t)>
       refuse_at_head_;
+  const std::shared_ptr<const MemoryHooks> memory_;
+  const std::size_t max_connections_;
+  const std::function<void(const YieldedCaller&)> on_yield_;
   HttpLimits limits_;
   Listener listener_;
   std::uint16_t port_ = 0;
   QTimer sweep_;
+  QTimer relief_;
+  Millis paused_since_{0};
   std::set<CallerConnection*> sockets_;
   std::shared_ptr<ServerState> state_ = std::make_shared<ServerState>();
 };
--- a/io/http_server.h
+++ b/io/http_server.h
@@ -9,6 +9,8 @@
 
 #include "io/http_message.h"
 #include "io/http_parser.h"
+#include "io/memory_charge.h"
+#include "io/shared_bytes.h"
 #include "src/error.h"
 
 // Defines the HTTP/1.1 server used for callers and for administration.
@@ -20,7 +22,7 @@
   std::string path;
   std::string query;
   HttpHeaders headers;
-  std::string body;
+  SharedBytes body;
   // Path and query as sent.
   std::string target;
   // Longest time that the request can have been waiting before it was read.
@@ -53,6 +55,8 @@
   // method.
   void OnDisconnect(std::function<void()> hook);
   bool IsOpen() const;
+  // Number of bytes of the response that the kernel has not accepted yet.
+  std::size_t unsent_bytes() const;
   // True if the caller has closed its connection. Queries the kernel, since the
   // event loop may not have read the end of the connection yet.
   bool HasCallerLeft() const;
@@ -85,6 +89,17 @@
   bool operator==(const HttpLimits&) const = default;
 };
 
+// A connection that was closed to free memory or descriptors.
+struct YieldedCaller {
+  std::string address;
+  // "memory" or "connections".
+  std::string_view reason;
+  // Whether the caller was told that its request was not run.
+  bool is_refused = false;
+  std::size_t bytes = 0;
+  Millis idle{0};
+};
+
 struct HttpServerOptions {
   std::string address = "127.0.0.1";
   // 0 selects any free port.
@@ -104,6 +119,14 @@
   std::function<std::optional<EarlyResponse>(const HttpRequestHead& head,
                                              std::size_t body_bytes)>
       refuse_at_head;
+  // If set, what connections hold is charged, reading stops while the account
+  // says so, and connections without a running request yield when it is full.
+  std::shared_ptr<const MemoryHooks> memory;
+  // Above this number of connections, those that have been idle longest are
+  // closed, or else new ones. 0 means no limit.
+  std::size_t max_connections = 0;
+  // Called when a connection yields. May be empty.
+  std::function<void(const YieldedCaller&)> on_yield;
 };
 
 // Listens on the calling thread. Throws UserError "listen_failed".
--- a/io/tcp_socket.cc
+++ b/io/tcp_socket.cc
@@ -4,6 +4,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <sys/uio.h>
 #include <unistd.h>
 
 #include <QTimer>
@@ -17,6 +18,12 @@
 
 constexpr std::size_t kReadBufferBytes = 64 << 10;
 
+// Interval at which a socket that may not read asks again.
+constexpr Millis kReadAgainInterval{20};
+
+// Number of pieces that are passed to the kernel at once. A request has two.
+constexpr std::size_t kMaxPieces = 8;
+
 bool WouldBlock(int error) {
   return error == EAGAIN || error == EWOULDBLOCK || error == EINTR;
 }
@@ -46,7 +53,11 @@
 
 }  // namespace
 
-TcpSocket::TcpSocket(TcpSocketHooks hooks) : hooks_(std::move(hooks)) {}
+TcpSocket::TcpSocket(TcpSocketHooks hooks) : hooks_(std::move(hooks)) {
+  read_again_.setSingleShot(true);
+  QObject::connect(&read_again_, &QTimer::timeout, &context_,
+                   [this] { OnReadable(); });
+}
 
 TcpSocket::~TcpSocket() {
   Close();
@@ -88,18 +99,50 @@
                    writable_.get(), [this] { OnWritable(); });
 }
 
-void TcpSocket::Write(std::string_view bytes) {
+void TcpSocket::Write(SharedBytes bytes) {
+  Write(std::move(bytes), {});
+}
+
+void TcpSocket::Write(SharedBytes head, SharedBytes body) {
   if (descriptor_ < 0) {
     return;
   }
-  unsent_ += bytes;
+  Queue(std::move(head));
+  Queue(std::move(body));
   if (is_connected_) {
     Flush();
   }
 }
 
-void TcpSocket::CloseSending() {
+void TcpSocket::Queue(SharedBytes bytes) {
+  if (!bytes.empty()) {
+    unsent_bytes_ += bytes.size();
+    unsent_.push_back(std::move(bytes));
+  }
+}
+
+void TcpSocket::DropSent(std::size_t n) {
+  unsent_bytes_ -= n;
+  while (n > 0) {
+    const std::size_t left = unsent_.front().size() - first_offset_;
+    if (n < left) {
+      first_offset_ += n;
+      return;
+    }
+    n -= left;
+    first_offset_ = 0;
+    unsent_.pop_front();
+  }
+}
+
+void TcpSocket::ClearUnsent() {
   unsent_.clear();
+  first_offset_ = 0;
+  unsent_bytes_ = 0;
+}
+
+void TcpSocket::CloseSending() {
+  ClearUnsent();
   if (writable_) {
     writable_->setEnabled(false);
   }
@@ -110,7 +153,8 @@
 
 void TcpSocket::Close() {
   is_connected_ = false;
-  unsent_.clear();
+  read_again_.stop();
+  ClearUnsent();
   // A notifier may be running one of the hooks, so they are only disabled.
   for (auto* it : {readable_.get(), writable_.get()}) {
     if (it != nullptr) {
@@ -155,13 +199,25 @@
 
 void TcpSocket::Flush() {
   while (!unsent_.empty()) {
-    const auto n =
-        ::send(descriptor_, unsent_.data(), unsent_.size(), MSG_NOSIGNAL);
+    std::array<iovec, kMaxPieces> pieces{};
+    std::size_t count = 0;
+    for (const auto& it : unsent_) {
+      if (count == pieces.size()) {
+        break;
+      }
+      const auto bytes = it.view().substr(count == 0 ? first_offset_ : 0);
+      pieces[count] = {const_cast<char*>(bytes.data()), bytes.size()};
+      ++count;
+    }
+    msghdr message{};
+    message.msg_iov = pieces.data();
+    message.msg_iovlen = count;
+    const auto n = ::sendmsg(descriptor_, &message, MSG_NOSIGNAL);
     if (n < 0) {
       // A reset is reported by the next read, after the data that preceded it.
       break;
     }
-    unsent_.erase(0, static_cast<std::size_t>(n));
+    DropSent(static_cast<std::size_t>(n));
   }
   writable_->setEnabled(!unsent_.empty() && WouldBlock(errno));
 }
@@ -171,6 +227,12 @@
   if (!is_connected_) {
     return;
   }
+  const bool may_read = !hooks_.may_read || hooks_.may_read();
+  readable_->setEnabled(may_read);
+  if (!may_read) {
+    read_again_.start(kReadAgainInterval);
+    return;
+  }
   const auto n = ::recv(descriptor_, buf.data(), buf.size(), 0);
   if (n > 0) {
     hooks_.on_bytes({buf.data(), static_cast<std::size_t>(n)});
--- a/io/tcp_socket.h
+++ b/io/tcp_socket.h
@@ -3,12 +3,15 @@
 
 #include <QObject>
 #include <QSocketNotifier>
+#include <QTimer>
 #include <cstddef>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
 
+#include "io/shared_bytes.h"
 #include "src/ip_endpoint.h"
 #include "src/types.h"
 
@@ -29,6 +32,9 @@
 struct TcpSocketHooks {
   std::function<void()> on_connected;
   std::function<void(std::string_view)> on_bytes;
+  // Asked before each read. While it returns false, nothing is read, so that
+  // TCP makes the peer wait; it is asked again soon. May be empty.
+  std::function<bool()> may_read;
   // Called at most once, after the socket has been closed.
   std::function<void(TcpCloseReason)> on_end;
 };
@@ -45,7 +51,9 @@
   // Hooks are called from the event loop only, never from within this call. The
   // connection ends if data stays unacknowledged for `unacknowledged_timeout`.
   void Connect(const IpEndpoint& peer, Millis unacknowledged_timeout);
-  void Write(std::string_view bytes);
+  void Write(SharedBytes bytes);
+  // Writes both with one system call.
+  void Write(SharedBytes head, SharedBytes body);
   // Shuts down the sending side only. Data that the kernel has not accepted yet
   // is dropped.
   void CloseSending();
@@ -54,7 +62,7 @@
 
   bool is_connected() const { return is_connected_; }
   // Number of bytes that the kernel has not accepted yet.
-  std::size_t unsent_bytes() const { return unsent_.size(); }
+  std::size_t unsent_bytes() const { return unsent_bytes_; }
   // True if the peer has neither sent unread data nor closed. Queries the
   // kernel, since an event may still be pending in the event loop.
   bool IsIdle() const;
@@ -63,6 +71,10 @@
   void OnWritable();
   void OnReadable();
   void Flush();
+  void Queue(SharedBytes bytes);
+  // Removes bytes that the kernel has accepted from the queue.
+  void DropSent(std::size_t n);
+  void ClearUnsent();
   void End(TcpCloseReason end);
 
   // Receiver of queued calls.
@@ -72,7 +84,11 @@
   bool is_connected_ = false;
   std::unique_ptr<QSocketNotifier> readable_;
   std::unique_ptr<QSocketNotifier> writable_;
-  std::string unsent_;
+  QTimer read_again_;
+  // The first piece lacks its first `first_offset_` bytes.
+  std::deque<SharedBytes> unsent_;
+  std::size_t first_offset_ = 0;
+  std::size_t unsent_bytes_ = 0;
 };
 
 }  // namespace crocuslatch
--- a/src/log.cc
+++ b/src/log.cc
@@ -113,6 +113,7 @@
       {LogEvent::kRequestEnded, LogLevel::kInfo, "request_ended"},
       {LogEvent::kReservationRefused, LogLevel::kInfo, "reservation_refused"},
       {LogEvent::kRequestWithdrawn, LogLevel::kInfo, "request_withdrawn"},
+      {LogEvent::kCallerYielded, LogLevel::kWarning, "caller_yielded"},
       {LogEvent::kBackendEjected, LogLevel::kWarning, "backend_ejected"},
       {LogEvent::kBackendReadmitted, LogLevel::kInfo, "backend_readmitted"},
       {LogEvent::kBackendLeaving, LogLevel::kInfo, "backend_leaving"},
--- a/src/log.h
+++ b/src/log.h
@@ -73,6 +73,7 @@
   kRequestEnded = 607,
   kReservationRefused = 608,
   kRequestWithdrawn = 609,
+  kCallerYielded = 620,
   kBackendEjected = 700,
   kBackendReadmitted = 701,
   kBackendLeaving = 702,
--- a/tests/error/http_server_test.cc
+++ b/tests/error/http_server_test.cc
@@ -16,7 +16,8 @@
 }
 
 void Echo(const IncomingRequest& request, HttpReply reply) {
-  reply.SendResponse(200, {}, request.method + request.path + request.body);
+  reply.SendResponse(200, {},
+                     request.method + request.path + request.body.str());
 }
 
 // Sends `bytes` on a new connection and returns what is received until `done`
