--- a/tests/resources/uncontrolled_clients_test.cc
+++ b/tests/resources/uncontrolled_clients_test.cc
@@ -106,7 +106,9 @@
 // One host with its store and one server.
 class LimitedHost {
  public:
-  explicit LimitedHost(std::size_t max_descriptors) {
+  explicit LimitedHost(std::size_t max_descriptors,
+                       std::size_t memory_mb = kMemoryMb)
+      : memory_mb_(memory_mb) {
     store_.Put(
         "op/config",
         {{"version", 1},
@@ -138,7 +140,7 @@
         "[store]\naddress = \"{}\"\n"
         "[limits]\nlink_mbps = 100000.0\nmemory_mb = {}\n"
         "max_descriptors = {}\n",
-        port_, FreePort(), FreePort(), FreePort(), store_.address(), kMemoryMb,
+        port_, FreePort(), FreePort(), FreePort(), store_.address(), memory_mb_,
         max_descriptors);
     qputenv("CROCUSLATCH_SETTINGS", settings.c_str());
     process_ = std::make_unique<Process>(
@@ -230,7 +232,7 @@
     }
     CHECK(IsRunning());
     CHECK(memory > 0);
-    CHECK(memory <= kMemoryMb);
+    CHECK(memory <= memory_mb_);
     CHECK(peak_descriptors() <= max_descriptors);
     CHECK(is_answered);
   }
@@ -245,6 +247,7 @@
         std::max(peak_descriptors_, static_cast<std::size_t>(open));
   }
 
+  const std::size_t memory_mb_;
   PlatformStore store_;
   std::unique_ptr<PlatformServer> server_;
   QTemporaryDir folder_;
@@ -291,6 +294,19 @@
   host.CheckAfterCrowd(kManyDescriptors);
 }
 
+// The case that ended a process of the users' smallest host.
+TEST_CASE("300 bodies one byte short stay within a host of 88 MB") {
+  LimitedHost host(kManyDescriptors, 88);
+  std::vector<std::string> requests;
+  for (int i = 0; i < 300; ++i) {
+    auto bytes = Post("/order/1", fmt::format("t{}", i), kBodyBytes);
+    bytes.pop_back();
+    requests.push_back(std::move(bytes));
+  }
+  host.RunCrowd(requests, kBodyBytes * 2);
+  host.CheckAfterCrowd(kManyDescriptors);
+}
+
 // Guards against responses that are held for callers that do not read them.
 TEST_CASE("large responses to slow readers stay within the memory") {
   LimitedHost host(kManyDescriptors);
