Expect the next large response to wait until yielding was tried

Change: the test checks that the next response waits first, and that it is read on when nobody can yield. Measured: the test fails on the former expectation and passes now.

--- a/tests/correctness/memory_account_test.cc
+++ b/tests/correctness/memory_account_test.cc
@@ -67,6 +67,9 @@
   CHECK(account.ChooseYielding({}).empty());
   CHECK(account.MayReadLargeResponse(first));
   account.EndLargeResponse(first);
+  // The first one's caller may yield now, so nothing more is read before that.
+  CHECK_FALSE(account.MayReadLargeResponse(second));
+  CHECK(account.ChooseYielding({}).empty());
   CHECK(account.MayReadLargeResponse(second));
 }
 
