--- a/app/front.cc
+++ b/app/front.cc
@@ -10,6 +10,7 @@
 #include <set>
 #include <utility>
 
+#include "app/caller_memory.h"
 #include "app/desired_state_follower.h"
 #include "app/evacuation_follower.h"
 #include "app/forwarding.h"
@@ -209,6 +210,9 @@
         rotation_policy({}, settings.link_mbps * kBytesPerMegabit),
         link_admission({}, settings.link_mbps * kBytesPerMegabit),
         loop_lag({}, BootNow()),
+        caller_memory({.memory_mb = settings.memory_mb,
+                       .max_descriptors = settings.max_descriptors},
+                      &metrics_registry),
         holder(MakeHolderId(settings.host_name)),
         start_stamp(MakeStamp()) {}
 
@@ -231,6 +235,7 @@
   RotationPolicy rotation_policy;
   LinkAdmission link_admission;
   LoopLag loop_lag;
+  CallerMemory caller_memory;
   const HolderId holder;
   // Bounds that the latest stamp states. `start_stamp` states none.
   std::vector<StampedBound> stamped_bounds;
@@ -490,6 +495,7 @@
                                            std::size_t body_bytes) {
       return RefuseAtHead(head, body_bytes);
     };
+    caller_memory.Apply(caller_options);
     caller_server = std::make_unique<HttpServer>(
         caller_options,
         [this](const IncomingRequest& request, HttpReply reply) {
@@ -506,7 +512,9 @@
         [this](const IncomingRequest&, HttpReply reply) {
           reply.SendResponse(200,
                              {{"Content-Type", "text/plain; version=0.0.4"}},
-                             metrics_registry.PrometheusText());
+                             metrics_registry.PrometheusText() +
+                                 caller_memory.PrometheusText(
+                                     caller_server->open_connections()));
         });
     LogLine(LogEvent::kStarted)
         .Add("host", settings.host_name)
@@ -949,6 +957,7 @@
     };
     context->metrics = &metrics_registry;
     context->quarantine = quarantine.get();
+    context->memory = caller_memory.hooks();
     context->random = &RandomDouble;
     context->count_link_bytes = [this](std::size_t received, std::size_t sent) {
       link_admission.OnBytes(received, sent, loop.now());
--- a/src/log.cc
+++ b/src/log.cc
@@ -115,6 +115,7 @@
       {LogEvent::kRequestWithdrawn, LogLevel::kInfo, "request_withdrawn"},
       {LogEvent::kRequestShed, LogLevel::kInfo, "request_shed"},
       {LogEvent::kAdmissionRefused, LogLevel::kInfo, "admission_refused"},
+      {LogEvent::kCallerYielded, LogLevel::kWarning, "caller_yielded"},
       {LogEvent::kBackendEjected, LogLevel::kWarning, "backend_ejected"},
       {LogEvent::kBackendReadmitted, LogLevel::kInfo, "backend_readmitted"},
       {LogEvent::kBackendLeaving, LogLevel::kInfo, "backend_leaving"},
--- a/src/log.h
+++ b/src/log.h
@@ -75,6 +75,7 @@
   kRequestWithdrawn = 609,
   kRequestShed = 610,
   kAdmissionRefused = 611,
+  kCallerYielded = 620,
   kBackendEjected = 700,
   kBackendReadmitted = 701,
   kBackendLeaving = 702,
