--- a/app/forwarding.cc
+++ b/app/forwarding.cc
@@ -261,7 +261,9 @@
         .Add("reason", "prompt_too_large")
         .Add("prompt_tokens", caller_.work->prompt_tokens)
         .Add("capacity_tokens", engine_->kv_capacity);
-    Fail({413, "prompt_too_large",
+    // Not 413: a server would refuse it as if it were full, and the request is
+    // within the limits that the operators state to callers.
+    Fail({kUnavailable, "prompt_too_large",
           fmt::format("the prompt has more than the {} tokens that a backend "
                       "server can hold",
                       engine_->kv_capacity),
--- a/core/load/admission.h
+++ b/core/load/admission.h
@@ -16,10 +16,9 @@
 
 struct AdmissionOptions {
   // A request is refused if its expected time exceeds the time left by this
-  // factor. PlacementChoice::expected_ms weights recomputed prompt parts by
-  // PlacementOptions::recompute_factor, which is 5, so that a smaller factor
-  // would refuse requests that can be served. With a pure time, 2 would do.
-  double max_time_ratio = 5;
+  // factor. The estimate knows prompts, but not when the outputs that occupy an
+  // engine end.
+  double max_time_ratio = 2;
   Millis min_retry_after{50};
   // Limit on Retry-After as a fraction of the time left. Callers wait for at
   // most a third of it, and the retry has to be served in the rest.
