--- a/tests/correctness/admission_test.cc
+++ b/tests/correctness/admission_test.cc
@@ -7,12 +7,13 @@
 
 namespace crocuslatch {
 
-// Guards against refusals of requests that servers have room for: the expected
-// time of a long prompt without a cached part counts its tokens five times.
+// Guards against refusals of requests that servers have room for, such as a
+// long prompt without a cached part shortly before its time limit.
 TEST_CASE("a request that may be served in its time is admitted") {
   CHECK(DecideAdmission({}, {0, Millis{5}, 0.5}).is_admitted);
-  CHECK(DecideAdmission({}, {1755, Millis{500}, 0.5}).is_admitted);
-  CHECK(DecideAdmission({}, {30'000, Millis{6000}, 0.5}).is_admitted);
+  CHECK(DecideAdmission({}, {426, Millis{250}, 0.5}).is_admitted);
+  CHECK(DecideAdmission({}, {12'000, Millis{6000}, 0.5}).is_admitted);
+  CHECK_FALSE(DecideAdmission({}, {12'100, Millis{6000}, 0.5}).is_admitted);
 }
 
 // Guards against requests that wait at a server until their time limit, and
