--- a/app/front.cc
+++ b/app/front.cc
@@ -553,13 +553,6 @@
   // Nothing was reserved or counted for the request yet.
   std::optional<EarlyResponse> RefuseAtHead(const HttpRequestHead& head,
                                             std::size_t body_bytes) {
-    const std::size_t head_bytes = HeadBytes(head);
-    if (!link_admission.IsNearCapacity(loop.now())) {
-      // Saves decoding the head twice while the link has room.
-      link_admission.Decide(
-          {.head_bytes = head_bytes, .body_bytes = body_bytes}, 0, loop.now());
-      return std::nullopt;
-    }
     platform::CallerHeaders caller;
     try {
       caller = platform::DecodeCallerHeaders(head.headers);
@@ -578,7 +571,7 @@
     const auto* account =
         has_account ? table->FindAccount(caller.api_key) : nullptr;
     const auto decision = link_admission.Decide(
-        {.head_bytes = head_bytes,
+        {.head_bytes = HeadBytes(head),
          .body_bytes = body_bytes,
          .priority = account != nullptr && account->priority
                          ? *account->priority
--- a/core/load/link_admission.cc
+++ b/core/load/link_admission.cc
@@ -53,10 +53,6 @@
   Add(sent_backlog_ms_, sent);
 }
 
-bool LinkAdmission::IsNearCapacity(Millis now) {
-  return usable_bytes_per_ms_ > 0 && Backlog(now) >= options_.large_limit;
-}
-
 Millis LinkAdmission::Backlog(Millis now) {
   Drain(now);
   return Millis{static_cast<Millis::rep>(
--- a/core/load/link_admission.h
+++ b/core/load/link_admission.h
@@ -76,8 +76,6 @@
   // Counts bytes that Decide did not: responses, and bodies without a stated
   // length or sent again.
   void OnBytes(std::size_t received, std::size_t sent, Millis now);
-  // Returns false if a request of any size and priority would be admitted.
-  bool IsNearCapacity(Millis now);
   // The larger backlog of the two directions.
   Millis Backlog(Millis now);
 
