Revert the admission of requests by the host's link

Cause: the refused bodies cross the link all the same, since callers send them with their heads, so that the flooded link stays full.

--- a/app/forwarding.cc
+++ b/app/forwarding.cc
@@ -378,9 +378,6 @@
         .Add("candidates", choice->candidates)
         .Add("left_ms", deadline_ - now)
         .Add("version", routing_table_->version());
-    if (attempts_ > 1) {
-      CountLinkBytes(0, body_.size());
-    }
     const int attempt = attempts_;
     const auto if_current = [self = shared_from_this(),
                              attempt](auto function) {
@@ -515,12 +512,6 @@
            is_sealed_;
   }
 
-  void CountLinkBytes(std::size_t received, std::size_t sent) const {
-    if (context_->count_link_bytes) {
-      context_->count_link_bytes(received, sent);
-    }
-  }
-
   // Whether the response may be read on; see MemoryHooks.
   bool MayRead() {
     if (!context_->memory || is_done_) {
@@ -541,8 +532,6 @@
   }
 
   void OnData(std::string_view bytes) {
-    // Responses are sent on to the caller as they arrive, or soon after.
-    CountLinkBytes(bytes.size(), bytes.size());
     if (!IsStreamingResponse()) {
       if (response_body_.size() + bytes.size() >
           context_->limits.max_buffered_bytes) {
--- a/app/forwarding.h
+++ b/app/forwarding.h
@@ -87,9 +87,6 @@
       cold_retry_after;
   // Returns a random number, uniform in [0, 1).
   std::function<double()> random;
-  // Counts bytes on this host's link that were not known when the request's
-  // head arrived. May be empty.
-  std::function<void(std::size_t received, std::size_t sent)> count_link_bytes;
 };
 
 // Forwards `request` and ends `reply` exactly once: with a backend server's
--- a/app/front.cc
+++ b/app/front.cc
@@ -27,7 +27,6 @@
 #include "core/budget_homes.h"
 #include "core/ledger_writers.h"
 #include "core/load/cold_allowance.h"
-#include "core/load/link_admission.h"
 #include "core/load/loop_lag.h"
 #include "core/planned_stop.h"
 #include "core/registry_timing.h"
@@ -58,10 +57,6 @@
 // rotation, so callers may retry at once.
 constexpr Millis kStoppingRetryAfter{20};
 constexpr int kUnavailable = 503;
-// Limit on log lines about requests that are refused for the host's link; a
-// flood causes a hundred refusals per second on a small host.
-constexpr Millis kShedLogPeriod{1000};
-constexpr int kMaxShedLogLines = 20;
 constexpr Millis kActivityLogPeriod{10000};
 // Fraction of the fleet's retry limit that is used: arrivals at servers and
 // requests are counted at different moments, and hosts come and go.
@@ -163,22 +158,6 @@
   return loop;
 }
 
-// Size of a request's head on the wire, but for the version and the separators
-// of its first line.
-std::size_t HeadBytes(const HttpRequestHead& head) {
-  constexpr std::string_view kSeparators = ": \r\n";
-  std::size_t bytes = head.method.size() + head.target.size();
-  for (const auto& [name, value] : head.headers) {
-    bytes += name.size() + value.size() + kSeparators.size();
-  }
-  return bytes;
-}
-
-std::string_view TargetPath(const HttpRequestHead& head) {
-  const std::string_view target = head.target;
-  return target.substr(0, target.find('?'));
-}
-
 HttpServerOptions ListenOptions(const std::string& address) {
   const auto endpoint = ParseIpEndpoint(address);
   CROCUSLATCH_ASSERT(endpoint.has_value());
@@ -208,7 +187,6 @@
         retry_budget({.window = settings.retry_window,
                       .ratio = settings.retry_ratio * kRetryLimitFraction}),
         rotation_policy({}, settings.link_mbps * kBytesPerMegabit),
-        link_admission({}, settings.link_mbps * kBytesPerMegabit),
         loop_lag({}, BootNow()),
         caller_memory({.memory_mb = settings.memory_mb,
                        .max_descriptors = settings.max_descriptors},
@@ -233,7 +211,6 @@
   ColdAllowance cold_allowance;
   RetryBudget retry_budget;
   RotationPolicy rotation_policy;
-  LinkAdmission link_admission;
   LoopLag loop_lag;
   CallerMemory caller_memory;
   const HolderId holder;
@@ -265,11 +242,6 @@
   // although the ledger may have some.
   Millis refused_at{Millis::min() / 2};
   std::string not_ready_reason = "starting";
-  // Log lines about shed requests since the start of the current period, and
-  // the requests that were shed without one.
-  Millis shed_log_period_began_at{0};
-  int shed_log_lines = 0;
-  int unlogged_shed_requests = 0;
   bool is_stopping = false;
   Millis stop_began_at{0};
   // Time at which a planned stop began to return tokens.
@@ -491,10 +463,6 @@
     caller_options.unread_time = [this] {
       return loop_lag.MaxUnreadTime(loop.now());
     };
-    caller_options.refuse_at_head = [this](const HttpRequestHead& head,
-                                           std::size_t body_bytes) {
-      return RefuseAtHead(head, body_bytes);
-    };
     caller_memory.Apply(caller_options);
     caller_server = std::make_unique<HttpServer>(
         caller_options,
@@ -538,10 +506,6 @@
 
   void OnRequest(const IncomingRequest& request, HttpReply reply) {
     rotation_policy.OnRequest(request.body.size(), loop.now());
-    if (FindHeader(request.headers, "Content-Length").empty()) {
-      link_admission.OnBytes(request.body.size(), request.body.size(),
-                             loop.now());
-    }
     if (is_stopping && loop.now() - stop_began_at >= kDeregistrationDelay) {
       RefuseWhileStopping(request, std::move(reply));
       return;
@@ -549,77 +513,6 @@
     ForwardRequest(context, request, std::move(reply));
   }
 
-  // Returns the response to a request that this host's link has no room for.
-  // Nothing was reserved or counted for the request yet.
-  std::optional<EarlyResponse> RefuseAtHead(const HttpRequestHead& head,
-                                            std::size_t body_bytes) {
-    platform::CallerHeaders caller;
-    try {
-      caller = platform::DecodeCallerHeaders(head.headers);
-    } catch (const RequestError&) {
-      // ForwardRequest responds with the error.
-      return std::nullopt;
-    }
-    const auto table = follower->current();
-    const auto* route =
-        table ? table->FindRoute(caller.host, TargetPath(head)) : nullptr;
-    if (route == nullptr) {
-      return std::nullopt;
-    }
-    const bool has_account =
-        table->state().requires_api_keys && !route->is_public;
-    const auto* account =
-        has_account ? table->FindAccount(caller.api_key) : nullptr;
-    const auto decision = link_admission.Decide(
-        {.head_bytes = HeadBytes(head),
-         .body_bytes = body_bytes,
-         .priority = account != nullptr && account->priority
-                         ? *account->priority
-                         : route->priority},
-        RandomDouble(), loop.now());
-    if (decision.is_admitted) {
-      return std::nullopt;
-    }
-    // The rotation follows the load that callers offer. If it followed what is
-    // admitted, the balancer would send a flooded host the retries as well.
-    rotation_policy.OnRequest(decision.counted_body_bytes, loop.now());
-    metrics_registry.IncrementCounter("requests", "outcome", "link_busy");
-    LogShedRequest(caller.request_id, *route, account, body_bytes, decision);
-    const RequestError error(kUnavailable, Outcome::kNotRun, "link_busy",
-                             "the link of this router is busy",
-                             "send the request again on a new connection");
-    return EarlyResponse{
-        kUnavailable,
-        platform::MakeErrorHeaders(caller.request_id, decision.retry_after),
-        ErrorBody(error)};
-  }
-
-  void LogShedRequest(const std::string& request_id,
-                      const RouteSpec& route,
-                      const ClientAccountSpec* account,
-                      std::size_t body_bytes,
-                      const LinkDecision& decision) {
-    const Millis now = loop.now();
-    if (now - shed_log_period_began_at >= kShedLogPeriod) {
-      shed_log_period_began_at = now;
-      shed_log_lines = 0;
-    }
-    if (++shed_log_lines > kMaxShedLogLines) {
-      ++unlogged_shed_requests;
-      return;
-    }
-    LogLine(LogEvent::kRequestShed)
-        .Add("request", request_id)
-        .Add("route", route.name)
-        .Add("account", account != nullptr ? account->name : "")
-        .Add("reason", "link_busy")
-        .Add("body_bytes", body_bytes)
-        .Add("backlog_ms", decision.backlog)
-        .Add("limit_ms", decision.limit)
-        .Add("retry_after_ms", decision.retry_after)
-        .Add("unlogged", std::exchange(unlogged_shed_requests, 0));
-  }
-
   // Refuses a request that arrives late in a planned stop, on a connection that
   // was open before. It might not finish within the grace period, and the
   // caller can use other hosts.
@@ -952,9 +845,6 @@
     context->quarantine = quarantine.get();
     context->memory = caller_memory.hooks();
     context->random = &RandomDouble;
-    context->count_link_bytes = [this](std::size_t received, std::size_t sent) {
-      link_admission.OnBytes(received, sent, loop.now());
-    };
   }
 
   HttpLimits MakeLimits(const CallerLimits& limits) const {
--- a/io/http_server.cc
+++ b/io/http_server.cc
@@ -13,7 +13,6 @@
 #include <QTimer>
 #include <algorithm>
 #include <cerrno>
-#include <charconv>
 #include <cstring>
 #include <functional>
 #include <iterator>
@@ -207,14 +206,6 @@
   return FormatHead(StatusLine(error.http_status()), headers) + body;
 }
 
-// Returns the request's Content-Length, or 0 if it has none.
-std::size_t StatedLength(const HttpRequestHead& head) {
-  const auto text = FindHeader(head.headers, "Content-Length");
-  std::size_t n = 0;
-  std::from_chars(text.data(), text.data() + text.size(), n);
-  return n;
-}
-
 RequestError MemoryFull() {
   return {503, Outcome::kNotRun, "memory_full",
           "the router's memory for unfinished requests is full",
@@ -238,12 +229,9 @@
 class CallerConnection : public QObject {
  public:
   using OnRequest = std::function<void(CallerConnection&, IncomingRequest)>;
-  using RefuseAtHead =
-      std::function<std::optional<EarlyResponse>(const HttpRequestHead&)>;
 
   CallerConnection(qintptr descriptor,
                    const HttpLimits* limits,
-                   RefuseAtHead refuse_at_head,
                    OnRequest on_request,
                    std::function<void(CallerConnection*)> on_closed,
                    std::shared_ptr<const MemoryHooks> memory,
@@ -252,7 +240,6 @@
         charge_(memory_),
         on_paused_(std::move(on_paused)),
         limits_(limits),
-        refuse_at_head_(std::move(refuse_at_head)),
         on_request_(std::move(on_request)),
         on_closed_(std::move(on_closed)) {
     is_valid_ = socket_.setSocketDescriptor(descriptor);
@@ -559,10 +546,6 @@
     }
     UpdateCharge();
     if (!had_head && parser_->is_head_done()) {
-      if (const auto response = refuse_at_head_(parser_->head())) {
-        SendLast(*response);
-        return;
-      }
       deadline_ = request_start_ + limits_->request_timeout;
       if (result.state == ParseState::kNeedsMore &&
           parser_->head().expects_continue) {
@@ -619,25 +602,11 @@
     }
   }
 
-  // Sends the response and closes the connection, without parsing the rest of
-  // its input.
-  void SendLast(const EarlyResponse& response) {
-    HttpHeaders headers = response.headers;
-    headers.emplace_back("Content-Length",
-                         std::to_string(response.body.size()));
-    headers.emplace_back("Connection", "close");
-    if (Send(FormatHead(StatusLine(response.status), headers) +
-             response.body)) {
-      CloseGracefully();
-    }
-  }
-
   // Null if memory is not charged.
   std::shared_ptr<const MemoryHooks> memory_;
   MemoryCharge charge_;
   std::function<void()> on_paused_;
   const HttpLimits* limits_;
-  RefuseAtHead refuse_at_head_;
   OnRequest on_request_;
   std::function<void(CallerConnection*)> on_closed_;
   QTcpSocket socket_;
@@ -842,7 +811,6 @@
   Impl(const HttpServerOptions& options, HttpHandler handler)
       : handler_(std::move(handler)),
         unread_time_(options.unread_time),
-        refuse_at_head_(options.refuse_at_head),
         memory_(options.memory),
         max_connections_(options.max_connections),
         on_yield_(options.on_yield),
@@ -921,10 +889,6 @@
     }
     auto* socket = new CallerConnection(
         descriptor, &limits_,
-        [this](const HttpRequestHead& it) {
-          return refuse_at_head_ ? refuse_at_head_(it, StatedLength(it))
-                                 : std::nullopt;
-        },
         [this](CallerConnection& it, IncomingRequest request) {
           Handle(it, std::move(request));
         },
@@ -1072,9 +1036,6 @@
 
   HttpHandler handler_;
   std::function<Millis()> unread_time_;
-  std::function<std::optional<EarlyResponse>(const HttpRequestHead&,
-                                             std::size_t)>
-      refuse_at_head_;
   const std::shared_ptr<const MemoryHooks> memory_;
   const std::size_t max_connections_;
   const std::function<void(const YieldedCaller&)> on_yield_;
--- a/io/http_server.h
+++ b/io/http_server.h
@@ -69,13 +69,6 @@
 
 using HttpHandler = std::function<void(const IncomingRequest&, HttpReply)>;
 
-// A response that is sent before the body of its request has arrived.
-struct EarlyResponse {
-  int status = 503;
-  HttpHeaders headers;
-  std::string body;
-};
-
 // Limits on the size and duration of requests.
 struct HttpLimits {
   std::size_t max_header_bytes = 64 << 10;
@@ -112,13 +105,6 @@
   // Returns the longest time that data which is read now can have been waiting
   // unread. May be empty.
   std::function<Millis()> unread_time;
-  // Asked once for each request, when its head has arrived. If it returns a
-  // response, the rest of the request is discarded and the connection closed
-  // after the response. `body_bytes` is the stated length, or 0 if the body is
-  // chunked. May be empty.
-  std::function<std::optional<EarlyResponse>(const HttpRequestHead& head,
-                                             std::size_t body_bytes)>
-      refuse_at_head;
   // If set, what connections hold is charged, reading stops while the account
   // says so, and connections without a running request yield when it is full.
   std::shared_ptr<const MemoryHooks> memory;
--- a/src/log.cc
+++ b/src/log.cc
@@ -113,7 +113,6 @@
       {LogEvent::kRequestEnded, LogLevel::kInfo, "request_ended"},
       {LogEvent::kReservationRefused, LogLevel::kInfo, "reservation_refused"},
       {LogEvent::kRequestWithdrawn, LogLevel::kInfo, "request_withdrawn"},
-      {LogEvent::kRequestShed, LogLevel::kInfo, "request_shed"},
       {LogEvent::kAdmissionRefused, LogLevel::kInfo, "admission_refused"},
       {LogEvent::kCallerYielded, LogLevel::kWarning, "caller_yielded"},
       {LogEvent::kBackendEjected, LogLevel::kWarning, "backend_ejected"},
--- a/src/log.h
+++ b/src/log.h
@@ -73,7 +73,6 @@
   kRequestEnded = 607,
   kReservationRefused = 608,
   kRequestWithdrawn = 609,
-  kRequestShed = 610,
   kAdmissionRefused = 611,
   kCallerYielded = 620,
   kBackendEjected = 700,
