--- a/app/forwarding.cc
+++ b/app/forwarding.cc
@@ -207,22 +207,15 @@
 
   void FailReservation(ReserveStatus status, Tokens amount) {
     const auto view = context_->budget_view(account_->name);
-    const auto reason = RefusalReason(status, amount, view);
-    context_->metrics->IncrementCounter("reservations_refused", "reason",
-                                        std::string(reason));
-    LogLine line(LogEvent::kReservationRefused);
-    line.Add("request", caller_.request_id)
+    LogLine(LogEvent::kReservationRefused)
+        .Add("request", caller_.request_id)
         .Add("account", account_->name)
         .Add("tokens", amount)
-        .Add("reason", reason)
         .Add("free", view.free)
         .Add("usable", view.usable)
+        .Add("available", view.available)
+        .Add("ledger_age_ms", view.age)
         .Add("waited_ms", context_->loop.now() - arrived_at_);
-    if (view.age) {
-      line.Add("available", view.available).Add("ledger_age_ms", *view.age);
-    } else {
-      line.Add("ledger_view", "none");
-    }
     if (status == ReserveStatus::kInsufficient) {
       Fail({402, "budget_exhausted",
             fmt::format("the prepaid budget of \"{}\" does not cover {} tokens",
--- a/src/grant_table.cc
+++ b/src/grant_table.cc
@@ -753,10 +753,13 @@
   const Tokens usage =
       ExpectedUsage(budget, home_options_ ? home_options_->armed_horizon
                                           : options_.armed_horizon);
-  // Less than one request cannot be used, but is charged if the holder dies.
-  const bool is_usable =
-      !home_options_ || static_cast<double>(usage) >= budget.mean_request;
-  return is_usable ? std::min(usage, cap) : 0;
+  if (!home_options_) {
+    return std::min(usage, cap);
+  }
+  const auto margin = static_cast<Tokens>(
+      options_.spare_deviations *
+      std::sqrt(static_cast<double>(usage) * budget.mean_request));
+  return std::min(AddTokens(usage, margin), cap);
 }
 
 // Armed tokens to send with an exchange that settles `settled`.
@@ -827,9 +830,7 @@
   return {.free = budget.free,
           .usable = std::clamp<Tokens>(bound, 0, budget.free),
           .available = budget.available,
-          .age = budget.available < 0
-                     ? std::nullopt
-                     : std::optional(loop_.now() - budget.answered_at)};
+          .age = loop_.now() - budget.answered_at};
 }
 
 bool GrantTable::Core::IsTight(const Budget& budget) const {
@@ -1254,26 +1255,6 @@
   }
 }
 
-std::string_view RefusalReason(ReserveStatus status,
-                               Tokens amount,
-                               const BudgetView& view) {
-  switch (status) {
-    case ReserveStatus::kUnknownBudget:
-      return "unknown_budget";
-    case ReserveStatus::kInsufficient:
-      return "exhausted";
-    case ReserveStatus::kHeldElsewhere:
-      return "held_elsewhere";
-    case ReserveStatus::kReserved:
-    case ReserveStatus::kUnavailable:
-      break;
-  }
-  if (amount <= view.free && amount > view.usable) {
-    return "usage_bound";
-  }
-  return view.age ? "ledger_unreachable" : "no_grant";
-}
-
 GrantTable::GrantTable(
     GrantTableOptions options,
     HolderId holder,
--- a/src/grant_table.h
+++ b/src/grant_table.h
@@ -5,7 +5,6 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <string_view>
 #include <vector>
 
 #include "src/event_loop.h"
@@ -136,20 +135,12 @@
   Tokens free = 0;
   // Part of `free` that the usage bound allows to be used now.
   Tokens usable = 0;
-  // Left in the ledger as of its last reply; -1 if there was none.
-  Tokens available = -1;
-  // Age of that reply; nullopt if there was none.
-  std::optional<Millis> age;
+  // Left in the ledger as of its last reply (-1 before the first), and the age
+  // of that reply.
+  Tokens available = 0;
+  Millis age{0};
 };
 
-// Reason of a refusal for logs and metrics: "unknown_budget", "exhausted",
-// "held_elsewhere", "usage_bound" (the grant covers the amount, but the usage
-// bound does not), "no_grant" (the ledger has never answered for this budget)
-// or "ledger_unreachable".
-std::string_view RefusalReason(ReserveStatus status,
-                               Tokens amount,
-                               const BudgetView& view);
-
 // Tokens granted to this router, by budget. Thread-safe. Callbacks run on the
 // loop passed to the constructor.
 class GrantTable {
--- a/tests/correctness/grant_table_test.cc
+++ b/tests/correctness/grant_table_test.cc
@@ -355,35 +355,4 @@
   CHECK(Available(ledger.Stored().budgets.at("b")) == 400);
 }
 
-// Guards against an age for a budget that was never read, which looked like an
-// answer of 17 hours ago.
-TEST_CASE("a budget without a view has no age") {
-  Routers routers(1);
-  const auto before = routers.tables[0]->GetBudgetView("b");
-  CHECK_FALSE(before.age);
-  CHECK(before.available == -1);
-  CHECK(RefusalReason(ReserveStatus::kUnavailable, 100, before) == "no_grant");
-  routers.ledger.store.is_down = true;
-  CHECK(routers.Reserve(0, 100) == ReserveStatus::kUnavailable);
-  CHECK_FALSE(routers.tables[0]->GetBudgetView("b").age);
-  routers.ledger.store.is_down = false;
-  routers.Run(3000);
-  CHECK(routers.Reserve(0, 100) == ReserveStatus::kReserved);
-  CHECK(routers.tables[0]->GetBudgetView("b").age);
-}
-
-// Guards against a counter of refusals that names the wrong cause.
-TEST_CASE("a refusal has the reason that explains it") {
-  const BudgetView view{
-      .free = 500, .usable = 100, .available = 800, .age = Millis{20}};
-  CHECK(RefusalReason(ReserveStatus::kUnavailable, 400, view) == "usage_bound");
-  CHECK(RefusalReason(ReserveStatus::kUnavailable, 600, view) ==
-        "ledger_unreachable");
-  CHECK(RefusalReason(ReserveStatus::kInsufficient, 400, view) == "exhausted");
-  CHECK(RefusalReason(ReserveStatus::kHeldElsewhere, 400, view) ==
-        "held_elsewhere");
-  CHECK(RefusalReason(ReserveStatus::kUnknownBudget, 400, view) ==
-        "unknown_budget");
-}
-
 }  // namespace crocuslatch
