--- a/app/front.cc
+++ b/app/front.cc
@@ -214,8 +214,6 @@
   LoopLag loop_lag;
   CallerMemory caller_memory;
   const HolderId holder;
-  // Bounds that the latest stamp states. `start_stamp` states none.
-  std::vector<StampedBound> stamped_bounds;
   const HostStamp start_stamp;
   std::unique_ptr<DesiredStateFollower> follower;
   std::unique_ptr<ServerRegistryReader> server_registry;
@@ -547,9 +545,6 @@
     grants->SetMaxArmedFraction(others + 1 >= BudgetHomesOptions{}.min_hosts
                                     ? kMaxHomeArmedFraction
                                     : kMaxArmedFraction);
-    grants->SetHomeFleetOptions(others + 1 >= BudgetHomesOptions{}.min_hosts
-                                    ? std::optional(HomeFleetOptions{})
-                                    : std::nullopt);
     if (others > 0) {
       retry_budget.SetSlack(settings.retry_slack * kRetryLimitFraction /
                             static_cast<double>(others + 1));
@@ -640,8 +635,7 @@
             .wall_time = WallNow(),
             .link_mbps = OwnLinkMbps(),
             .peer_address = settings.peer_address,
-            .failure_domain = settings.failure_domain,
-            .bounds = stamped_bounds};
+            .failure_domain = settings.failure_domain};
   }
 
   // The hosts' shared secret, by which they authenticate each other, is in the
@@ -781,9 +775,7 @@
             .make_stamp = [this] { return MakeStamp(); },
             .may_write =
                 [this] { return !IsCutOff() && grants->PrepareStamp(); },
-            .before_write =
-                [this](Millis now) { stamped_bounds = grants->OnStamp(now); },
-            .after_write = [this] { grants->OnStampStored(); }});
+            .before_write = [this](Millis now) { grants->OnStamp(now); }});
     loop.after(kRecoveryDelay, [self = weak_from_this(), key, ledger] {
       if (const auto core = self.lock()) {
         core->Recover(key, ledger);
--- a/app/holder_recovery.cc
+++ b/app/holder_recovery.cc
@@ -29,7 +29,6 @@
   std::uint64_t stamp_version = 0;
   HolderId previous_holder;
   Millis max_lifetime{0};
-  std::vector<StampedBound> stamped_bounds;
   std::vector<ShardToReclaim> shards;
   // Shards whose reclaim command is not confirmed yet.
   std::size_t unconfirmed_shards = 0;
@@ -70,7 +69,6 @@
     }
     max_lifetime = *lifetime;
     previous_holder = {options.host, stamp->incarnation};
-    stamped_bounds = stamp->bounds;
     ReadLedger();
   }
 
@@ -130,8 +128,7 @@
   }
 
   void Reclaim(const ShardToReclaim& shard) {
-    apply(shard.number,
-          {ReclaimCommand{previous_holder, max_lifetime, stamped_bounds}},
+    apply(shard.number, {ReclaimCommand{previous_holder, max_lifetime}},
           options.apply_timeout,
           [self = weak_from_this(), shard](
               LedgerStatus status, const std::vector<ShardReply>& replies) {
--- a/app/stamp_writer.cc
+++ b/app/stamp_writer.cc
@@ -26,8 +26,8 @@
       return;
     }
     stamped_at = loop.now();
-    hooks.before_write(stamped_at);
     stamp = EncodeHostStamp(hooks.make_stamp());
+    hooks.before_write(stamped_at);
     Write();
   }
 
@@ -57,9 +57,6 @@
         result.status == StoreStatus::kVersionConflict && result.value == stamp;
     if (result.status == StoreStatus::kOk || is_stored_before) {
       version = result.version;
-      if (hooks.after_write) {
-        hooks.after_write();
-      }
       // No later result concerns this stamp.
       first_attempt = ++last_attempt + 1;
       const Millis delay = stamped_at + options.period - loop.now();
--- a/app/stamp_writer.h
+++ b/app/stamp_writer.h
@@ -32,10 +32,8 @@
   std::function<HostStamp()> make_stamp;
   // True if a new stamp may be made now.
   std::function<bool()> may_write;
-  // Called before `make_stamp`.
+  // Called when a new stamp is made, before it is written.
   std::function<void(Millis now)> before_write;
-  // Called when the stamp is known to be stored; may be null.
-  std::function<void()> after_write = nullptr;
 };
 
 class StampWriter {
--- a/core/host_stamp.cc
+++ b/core/host_stamp.cc
@@ -2,122 +2,44 @@
 
 #include <fmt/format.h>
 
+#include <array>
 #include <charconv>
 #include <chrono>
-#include <utility>
 
 namespace crocuslatch {
 
-namespace {
-
-// Most bounds that a stamp may state, so that a damaged number allocates
-// little.
-constexpr std::int64_t kMaxBounds = 10'000;
-
-// Reads the fields of a stamp, each of which ends with a space.
-class FieldReader {
- public:
-  explicit FieldReader(std::string_view text) : text_(text) {}
-
-  template <typename Number>
-  std::optional<Number> ReadNumber(int base = 10) {
-    Number number{};
-    const auto* const end = text_.data() + text_.size();
-    const auto result = std::from_chars(text_.data(), end, number, base);
-    if (result.ec != std::errc() || result.ptr == end || *result.ptr != ' ') {
-      return std::nullopt;
-    }
-    text_.remove_prefix(
-        static_cast<std::size_t>(result.ptr + 1 - text_.data()));
-    return number;
-  }
-
-  // Reads a text after its length, which is a field of its own.
-  std::optional<std::string> ReadText() {
-    const auto size = ReadNumber<std::size_t>();
-    if (!size || *size >= text_.size() || text_[*size] != ' ') {
-      return std::nullopt;
-    }
-    std::string text(text_.substr(0, *size));
-    text_.remove_prefix(*size + 1);
-    return text;
-  }
-
-  std::string_view rest() const { return text_; }
-
- private:
-  std::string_view text_;
-};
-
-std::optional<std::vector<StampedBound>> ReadBounds(FieldReader& reader) {
-  const auto n = reader.ReadNumber<std::int64_t>();
-  if (!n || *n < 0 || *n > kMaxBounds) {
-    return std::nullopt;
-  }
-  std::vector<StampedBound> bounds;
-  for (std::int64_t i = 0; i < *n; ++i) {
-    const auto budget = reader.ReadText();
-    const auto sequence = reader.ReadNumber<std::uint64_t>();
-    const auto armed = reader.ReadNumber<Tokens>();
-    const auto pace = reader.ReadNumber<Tokens>();
-    if (!budget || !sequence || !armed || !pace || *armed < 0 || *pace < 0 ||
-        *armed > kMaxTokens || *pace > kMaxTokens) {
-      return std::nullopt;
-    }
-    bounds.push_back({*budget, *sequence, *armed, *pace});
-  }
-  return bounds;
-}
-
-}  // namespace
-
 std::string EncodeHostStamp(const HostStamp& stamp) {
-  std::string text = fmt::format(
-      "{} {:016x} {} {} {} ", stamp.bounds.empty() ? 3 : 4, stamp.incarnation,
-      stamp.boot_time.count(), stamp.wall_time.count(), stamp.link_mbps);
-  if (!stamp.bounds.empty()) {
-    text += fmt::format("{} ", stamp.bounds.size());
-    for (const auto& it : stamp.bounds) {
-      text += fmt::format("{} {} {} {} {} ", it.budget.size(), it.budget,
-                          it.sequence, it.armed, it.pace);
-    }
-  }
-  return text + fmt::format("{} {}", stamp.peer_address, stamp.failure_domain);
+  return fmt::format("3 {:016x} {} {} {} {} {}", stamp.incarnation,
+                     stamp.boot_time.count(), stamp.wall_time.count(),
+                     stamp.link_mbps, stamp.peer_address, stamp.failure_domain);
 }
 
-// A stamp with bounds has a format that the previous version rejects: with the
-// bounds left out, that version would count too little as used.
 std::optional<HostStamp> DecodeHostStamp(std::string_view text) {
-  // Processes of an earlier version write stamps without a failure domain.
-  constexpr std::string_view kFormatWithBounds = "4 ";
+  // Processes of the previous version write stamps without a failure domain.
   constexpr std::string_view kFormat = "3 ";
   constexpr std::string_view kFormatWithoutDomain = "2 ";
-  const bool has_bounds = text.starts_with(kFormatWithBounds);
-  const bool has_domain = has_bounds || text.starts_with(kFormat);
+  const bool has_domain = text.starts_with(kFormat);
   if (!has_domain && !text.starts_with(kFormatWithoutDomain)) {
     return std::nullopt;
   }
-  FieldReader reader(text.substr(kFormat.size()));
+  const auto* begin = text.data() + kFormat.size();
+  const auto* const end = text.data() + text.size();
   HostStamp stamp;
-  const auto incarnation = reader.ReadNumber<std::uint64_t>(16);
-  const auto boot_time = reader.ReadNumber<std::int64_t>();
-  const auto wall_time = reader.ReadNumber<std::int64_t>();
-  const auto link_mbps = reader.ReadNumber<std::int64_t>();
-  if (!incarnation || !boot_time || !wall_time || !link_mbps) {
-    return std::nullopt;
-  }
-  stamp.incarnation = *incarnation;
-  stamp.boot_time = Millis{*boot_time};
-  stamp.wall_time = Millis{*wall_time};
-  stamp.link_mbps = *link_mbps;
-  if (has_bounds) {
-    auto bounds = ReadBounds(reader);
-    if (!bounds) {
+  auto result = std::from_chars(begin, end, stamp.incarnation, 16);
+  std::array<std::int64_t, 3> numbers{};
+  for (auto& it : numbers) {
+    if (result.ec != std::errc() || result.ptr == end || *result.ptr != ' ') {
       return std::nullopt;
     }
-    stamp.bounds = std::move(*bounds);
+    result = std::from_chars(result.ptr + 1, end, it);
+  }
+  if (result.ec != std::errc() || result.ptr == end || *result.ptr != ' ') {
+    return std::nullopt;
   }
-  const std::string_view rest = reader.rest();
+  stamp.boot_time = Millis{numbers[0]};
+  stamp.wall_time = Millis{numbers[1]};
+  stamp.link_mbps = numbers[2];
+  const std::string_view rest(result.ptr + 1, end);
   const auto space = has_domain ? rest.find(' ') : std::string_view::npos;
   if (has_domain && space == std::string_view::npos) {
     return std::nullopt;
--- a/core/host_stamp.h
+++ b/core/host_stamp.h
@@ -5,7 +5,6 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <vector>
 
 #include "src/types.h"
 
@@ -16,10 +15,9 @@
 // uses beyond its last exchange. The bound grows with the time since the host's
 // last stamp (shard_state.h). The host writes a stamp with its clock readings
 // at short intervals, but not while it uses more than the bound allows right
-// after a stamp. A stamp can also state the bounds of single budgets, which
-// then hold from it on. The next process on the same host computes from the
-// clocks how long its predecessor can have lived and reclaims the tokens that
-// it cannot have used in that time.
+// after a stamp. The next process on the same host computes from the clocks how
+// long its predecessor can have lived and reclaims the tokens that it cannot
+// have used in that time.
 
 namespace crocuslatch {
 
@@ -38,8 +36,6 @@
   std::string peer_address;
   // Empty if unknown.
   std::string failure_domain;
-  // Usage bounds as of this stamp.
-  std::vector<StampedBound> bounds;
   bool operator==(const HostStamp&) const = default;
 };
 
--- a/src/grant_table.cc
+++ b/src/grant_table.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <cstdlib>
 #include <deque>
 #include <map>
 #include <mutex>
@@ -29,10 +28,6 @@
 // Samples of recent usage in one window.
 constexpr int kUsageBuckets = 10;
 
-// A stamp leaves out bounds that differ by less from that of the last exchange.
-// Every host of the fleet reads the stamps.
-constexpr Tokens kMinStampedDifference = 1000;
-
 struct Waiter {
   std::uint64_t id = 0;
   Tokens amount = 0;
@@ -66,9 +61,6 @@
   Tokens armed = 0;
   Tokens pace = 0;
   bool needs_rearm = false;
-  // Bounds that the newest stamp states, and the one before it.
-  std::optional<StampedBound> stamped;
-  std::optional<StampedBound> previous_stamped;
   // As of the last reply; -1 before the first.
   Tokens available = -1;
   Tokens limit = 0;
@@ -204,31 +196,16 @@
   return budget.reserved + budget.unsettled;
 }
 
-// Bound that may be in force: from the time of a stamp on, it grows with the
-// time since then; see UsageBound.
-struct PossibleBound {
-  Tokens armed = 0;
-  Tokens pace = 0;
-  Millis stamped_at{0};
-};
-
-// Bounds that the ledger would apply if the holder died and its last stamp was
-// made at `stamped_at` with `stamped`. An exchange in flight may or may not
-// have taken effect.
-void AppendBounds(const Budget& budget,
-                  const std::optional<StampedBound>& stamped,
-                  Millis stamped_at,
-                  std::vector<PossibleBound>& bounds) {
-  if (stamped && stamped->sequence == budget.sequence) {
-    bounds.push_back({stamped->armed, stamped->pace, stamped_at});
-  } else {
-    bounds.push_back({budget.armed, budget.pace, stamped_at});
-  }
-  if (budget.in_flight) {
-    const auto& sent = budget.in_flight->exchange;
-    bounds.push_back(
-        {AddTokens(sent.armed, sent.settled), sent.pace, stamped_at});
+// Usage bound at this time after the stamp. An exchange in flight may or may
+// not have taken effect, so the usage has to stay within both bounds.
+Tokens UsageBoundAt(const Budget& budget, Millis since_stamp) {
+  const Tokens bound = UsageBound(budget.armed, budget.pace, since_stamp);
+  if (!budget.in_flight) {
+    return bound;
   }
+  const auto& sent = budget.in_flight->exchange;
+  return std::min(
+      bound, UsageBound(sent.armed, sent.pace, since_stamp) + sent.settled);
 }
 
 // Refuses the waiters for at least the first waiter's amount that the exchange
@@ -275,17 +252,12 @@
   void Recall(const std::string& name);
   void ScheduleRefills();
   bool PrepareStamp();
-  std::vector<StampedBound> OnStamp(Millis now);
-  void OnStampStored();
+  void OnStamp(Millis now);
   void ReturnAll(std::function<void()> callback);
   void SetMaxArmedFraction(double fraction) {
     const std::lock_guard lock(mutex_);
     max_armed_fraction_ = fraction;
   }
-  void SetHomeFleetOptions(std::optional<HomeFleetOptions> options) {
-    const std::lock_guard lock(mutex_);
-    home_options_ = options;
-  }
   std::vector<HeldGrant> HeldGrants() const;
   BudgetView GetBudgetView(const std::string& name) const;
   void ScheduleSweep();
@@ -323,18 +295,13 @@
   bool CanReserve(const Budget& budget, Tokens amount) const {
     return amount >= 0 && amount <= budget.free &&
            (!IsBounded() ||
-            UnsettledUsage(budget) + amount <= CurrentBound(budget));
+            UnsettledUsage(budget) + amount <=
+                UsageBoundAt(budget, loop_.now() - *stamped_at_));
   }
-  std::vector<PossibleBound> PossibleBounds(const Budget& budget) const;
-  Tokens CurrentBound(const Budget& budget) const;
-  Tokens BoundOfNewStamp(const Budget& budget) const;
-  std::optional<StampedBound> BoundToStamp(const std::string& name,
-                                           const Budget& budget) const;
   Millis TimeUntilCovered(const Budget& budget, Tokens amount) const;
   void ServeWaiters(Budget& budget, Millis now, Tasks& tasks) const;
   Tokens ExpectedUsage(const Budget& budget, Millis time) const;
   Tokens ExpectedUsageWithMargin(const Budget& budget, Millis time) const;
-  Tokens UsageToArm(const Budget& budget) const;
   Tokens TokensToArm(const Budget& budget, Tokens settled) const;
   Tokens UsagePace(const Budget& budget) const;
   bool NeedsRearm(const Budget& budget) const;
@@ -394,11 +361,7 @@
   // Guarded by mutex_.
   std::map<std::string, Budget> budgets_;
   std::uint64_t last_waiter_ = 0;
-  // Times of the newest stamp, and of the one before it until the newest is
-  // known to be stored.
   std::optional<Millis> stamped_at_;
-  std::optional<Millis> previous_stamped_at_;
-  std::optional<HomeFleetOptions> home_options_;
   // An exchange had no known result in time, and none has had one since.
   bool is_ledger_unreachable_ = false;
   double max_armed_fraction_ = options_.max_armed_fraction;
@@ -567,7 +530,7 @@
   {
     const std::lock_guard lock(mutex_);
     for (auto& [name, budget] : budgets_) {
-      if (UnsettledUsage(budget) <= BoundOfNewStamp(budget)) {
+      if (UnsettledUsage(budget) <= UsageBoundAt(budget, Millis{0})) {
         continue;
       }
       is_within = false;
@@ -583,78 +546,9 @@
   return is_within;
 }
 
-std::vector<StampedBound> GrantTable::Core::OnStamp(Millis now) {
-  const std::lock_guard lock(mutex_);
-  previous_stamped_at_ = std::exchange(stamped_at_, now);
-  std::vector<StampedBound> stated;
-  for (auto& [name, budget] : budgets_) {
-    budget.previous_stamped =
-        std::exchange(budget.stamped, BoundToStamp(name, budget));
-    if (budget.stamped) {
-      stated.push_back(*budget.stamped);
-    }
-  }
-  return stated;
-}
-
-void GrantTable::Core::OnStampStored() {
+void GrantTable::Core::OnStamp(Millis now) {
   const std::lock_guard lock(mutex_);
-  previous_stamped_at_.reset();
-}
-
-std::vector<PossibleBound> GrantTable::Core::PossibleBounds(
-    const Budget& budget) const {
-  std::vector<PossibleBound> bounds;
-  AppendBounds(budget, budget.stamped, *stamped_at_, bounds);
-  if (previous_stamped_at_) {
-    AppendBounds(budget, budget.previous_stamped, *previous_stamped_at_,
-                 bounds);
-  }
-  return bounds;
-}
-
-// Usage that every bound which may be in force allows now.
-Tokens GrantTable::Core::CurrentBound(const Budget& budget) const {
-  Tokens bound = kMaxTokens;
-  for (const auto& it : PossibleBounds(budget)) {
-    bound = std::min(
-        bound, UsageBound(it.armed, it.pace, loop_.now() - it.stamped_at));
-  }
-  return bound;
-}
-
-// Usage that a stamp made now would allow. A stamp that states bounds covers
-// the usage as of the last reply's exchange, but not as of one in flight.
-Tokens GrantTable::Core::BoundOfNewStamp(const Budget& budget) const {
-  std::vector<PossibleBound> bounds;
-  AppendBounds(budget, std::nullopt, loop_.now(), bounds);
-  const bool states_bound = home_options_ && budget.sequence > 0;
-  Tokens bound = states_bound ? kMaxTokens : bounds.front().armed;
-  if (budget.in_flight) {
-    bound = std::min(bound, bounds.back().armed);
-  }
-  return bound;
-}
-
-// Bound that a stamp made now states for the budget; nullopt if that of the
-// last exchange is as good.
-std::optional<StampedBound> GrantTable::Core::BoundToStamp(
-    const std::string& name,
-    const Budget& budget) const {
-  if (!home_options_ || !options_.has_usage_bounds || budget.sequence == 0 ||
-      IsDrained(budget)) {
-    return std::nullopt;
-  }
-  const Tokens used = UnsettledUsage(budget);
-  const StampedBound bound{
-      name, budget.sequence,
-      AddTokens(used, std::min(UsageToArm(budget), budget.free)),
-      UsagePace(budget)};
-  const bool is_near =
-      budget.armed >= used &&
-      std::abs(budget.armed - bound.armed) < kMinStampedDifference &&
-      budget.pace <= 2 * bound.pace;
-  return is_near ? std::nullopt : std::optional(bound);
+  stamped_at_ = now;
 }
 
 void GrantTable::Core::ScheduleRefills() {
@@ -746,29 +640,16 @@
                options_.min_spare_requests * mean));
 }
 
-// Usage to account for in advance.
-Tokens GrantTable::Core::UsageToArm(const Budget& budget) const {
-  const auto cap = static_cast<Tokens>(max_armed_fraction_ *
-                                       static_cast<double>(budget.limit));
-  const Tokens usage =
-      ExpectedUsage(budget, home_options_ ? home_options_->armed_horizon
-                                          : options_.armed_horizon);
-  if (!home_options_) {
-    return std::min(usage, cap);
-  }
-  const auto margin = static_cast<Tokens>(
-      options_.spare_deviations *
-      std::sqrt(static_cast<double>(usage) * budget.mean_request));
-  return std::min(AddTokens(usage, margin), cap);
-}
-
 // Armed tokens to send with an exchange that settles `settled`.
 Tokens GrantTable::Core::TokensToArm(const Budget& budget,
                                      Tokens settled) const {
   if (!options_.has_usage_bounds) {
     return 0;
   }
-  Tokens bound = UnsettledUsage(budget) - settled + UsageToArm(budget);
+  const auto cap = static_cast<Tokens>(max_armed_fraction_ *
+                                       static_cast<double>(budget.limit));
+  Tokens bound = UnsettledUsage(budget) - settled +
+                 std::min(ExpectedUsage(budget, options_.armed_horizon), cap);
   for (const auto& it : budget.waiters) {
     bound = AddTokens(bound, it.amount);
   }
@@ -781,11 +662,8 @@
   }
   const auto rate =
       static_cast<double>(ExpectedUsage(budget, std::chrono::seconds(1)));
-  const auto factor =
-      home_options_ ? home_options_->pace_factor : options_.pace_factor;
-  return std::clamp(static_cast<Tokens>(rate * factor),
-                    home_options_ ? home_options_->min_pace : options_.min_pace,
-                    kMaxTokens);
+  const auto pace = static_cast<Tokens>(rate * options_.pace_factor);
+  return std::clamp(pace, options_.min_pace, kMaxTokens);
 }
 
 // Time until the growing usage bound covers the waiters and then this request;
@@ -796,20 +674,24 @@
   if (!IsBounded() || amount > budget.free) {
     return Millis{0};
   }
+  Tokens armed = budget.armed;
+  Tokens pace = budget.pace;
+  if (budget.in_flight) {
+    const auto& sent = budget.in_flight->exchange;
+    armed = std::min(armed, sent.armed + sent.settled);
+    pace = std::min(pace, sent.pace);
+  }
+  if (pace <= 0) {
+    return Millis{0};
+  }
   Tokens needed = UnsettledUsage(budget) + amount;
   for (const auto& it : budget.waiters) {
     needed = AddTokens(needed, it.amount);
   }
-  Millis wait{0};
-  for (const auto& it : PossibleBounds(budget)) {
-    if (it.pace <= 0) {
-      return Millis{0};
-    }
-    wait = std::max(wait, it.stamped_at +
-                              TimeUntilUsageBound(it.armed, it.pace, needed) -
-                              loop_.now());
-  }
-  return wait <= options_.max_bound_wait ? wait : Millis{0};
+  const Millis wait =
+      *stamped_at_ + TimeUntilUsageBound(armed, pace, needed) - loop_.now();
+  return wait <= options_.max_bound_wait ? std::max(Millis{0}, wait)
+                                         : Millis{0};
 }
 
 bool GrantTable::Core::NeedsRearm(const Budget& budget) const {
@@ -825,8 +707,10 @@
     return {};
   }
   const Budget& budget = it->second;
-  const Tokens bound =
-      IsBounded() ? CurrentBound(budget) - UnsettledUsage(budget) : budget.free;
+  const Tokens bound = IsBounded()
+                           ? UsageBoundAt(budget, loop_.now() - *stamped_at_) -
+                                 UnsettledUsage(budget)
+                           : budget.free;
   return {.free = budget.free,
           .usable = std::clamp<Tokens>(bound, 0, budget.free),
           .available = budget.available,
@@ -1295,16 +1179,8 @@
   return core_->PrepareStamp();
 }
 
-std::vector<StampedBound> GrantTable::OnStamp(Millis now) {
-  return core_->OnStamp(now);
-}
-
-void GrantTable::OnStampStored() {
-  core_->OnStampStored();
-}
-
-void GrantTable::SetHomeFleetOptions(std::optional<HomeFleetOptions> options) {
-  core_->SetHomeFleetOptions(options);
+void GrantTable::OnStamp(Millis now) {
+  core_->OnStamp(now);
 }
 
 void GrantTable::SetMaxArmedFraction(double fraction) {
--- a/src/grant_table.h
+++ b/src/grant_table.h
@@ -95,18 +95,6 @@
       recall;
 };
 
-// What a holder does differently in a fleet whose accounts have home hosts,
-// which reserve tokens for requests of all other hosts.
-struct HomeFleetOptions {
-  // Replaces `armed_horizon`. Stamps renew the bounds, so that this has to
-  // cover only the time from one stamp to the next and its write.
-  Millis armed_horizon{1200};
-  // Replace `pace_factor` and `min_pace`. A holder that is cut off can use its
-  // recent rate from kDisconnectTime on and half of it before that.
-  double pace_factor = 0.5;
-  Tokens min_pace = 2000;
-};
-
 enum class ReserveStatus {
   kReserved,
   // The budget does not cover the amount.
@@ -173,17 +161,13 @@
   // `reserved`, and frees the rest. An amount of 0 bills nothing.
   void Settle(const std::string& budget, Tokens reserved, const Bill& bill);
 
-  // Returns true if the unsettled usage of every budget is within the bounds
-  // that hold from a new stamp on, so that the host stamp may be written.
-  // Otherwise starts the exchanges that raise the armed tokens and returns
-  // false.
+  // Returns true if the unsettled usage of every budget is within its armed
+  // tokens, so that the host stamp may be written. Otherwise starts the
+  // exchanges that raise the armed tokens and returns false.
   bool PrepareStamp();
-  // Restarts the usage bounds at `now`, the time of the host's latest stamp,
-  // and returns the bounds that this stamp has to state. Must be called before
-  // the stamp is written, after the previous one was stored. The usage stays
-  // within the bounds of both until OnStampStored.
-  std::vector<StampedBound> OnStamp(Millis now);
-  void OnStampStored();
+  // Restarts the usage bounds at `now`, the time of the host's latest stamp.
+  // Must be called before the stamp is written.
+  void OnStamp(Millis now);
 
   // Starts an exchange that returns all unreserved tokens.
   void Recall(const std::string& budget);
@@ -195,8 +179,6 @@
   // Replaces the option of that name. A holder that accounts for the usage of
   // many hosts arms more.
   void SetMaxArmedFraction(double fraction);
-  // With options, stamps state bounds; nullopt in a fleet without home hosts.
-  void SetHomeFleetOptions(std::optional<HomeFleetOptions> options);
 
   // Budgets of which this router holds any tokens.
   std::vector<HeldGrant> HeldGrants() const;
--- a/src/ledger_generated.h
+++ b/src/ledger_generated.h
@@ -44,9 +44,6 @@
 struct FreezeCommand;
 struct FreezeCommandBuilder;
 
-struct StampedBound;
-struct StampedBoundBuilder;
-
 struct ReclaimCommand;
 struct ReclaimCommandBuilder;
 
@@ -1006,101 +1003,11 @@
   return builder_.Finish();
 }
 
-struct StampedBound FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef StampedBoundBuilder Builder;
-  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_BUDGET = 4,
-    VT_SEQUENCE = 6,
-    VT_ARMED = 8,
-    VT_PACE = 10
-  };
-  const flatbuffers::String *budget() const {
-    return GetPointer<const flatbuffers::String *>(VT_BUDGET);
-  }
-  uint64_t sequence() const {
-    return GetField<uint64_t>(VT_SEQUENCE, 0);
-  }
-  int64_t armed() const {
-    return GetField<int64_t>(VT_ARMED, 0);
-  }
-  int64_t pace() const {
-    return GetField<int64_t>(VT_PACE, 0);
-  }
-  bool Verify(flatbuffers::Verifier &verifier) const {
-    return VerifyTableStart(verifier) &&
-           VerifyOffsetRequired(verifier, VT_BUDGET) &&
-           verifier.VerifyString(budget()) &&
-           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
-           VerifyField<int64_t>(verifier, VT_ARMED, 8) &&
-           VerifyField<int64_t>(verifier, VT_PACE, 8) &&
-           verifier.EndTable();
-  }
-};
-
-struct StampedBoundBuilder {
-  typedef StampedBound Table;
-  flatbuffers::FlatBufferBuilder &fbb_;
-  flatbuffers::uoffset_t start_;
-  void add_budget(flatbuffers::Offset<flatbuffers::String> budget) {
-    fbb_.AddOffset(StampedBound::VT_BUDGET, budget);
-  }
-  void add_sequence(uint64_t sequence) {
-    fbb_.AddElement<uint64_t>(StampedBound::VT_SEQUENCE, sequence, 0);
-  }
-  void add_armed(int64_t armed) {
-    fbb_.AddElement<int64_t>(StampedBound::VT_ARMED, armed, 0);
-  }
-  void add_pace(int64_t pace) {
-    fbb_.AddElement<int64_t>(StampedBound::VT_PACE, pace, 0);
-  }
-  explicit StampedBoundBuilder(flatbuffers::FlatBufferBuilder &_fbb)
-        : fbb_(_fbb) {
-    start_ = fbb_.StartTable();
-  }
-  flatbuffers::Offset<StampedBound> Finish() {
-    const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<StampedBound>(end);
-    fbb_.Required(o, StampedBound::VT_BUDGET);
-    return o;
-  }
-};
-
-inline flatbuffers::Offset<StampedBound> CreateStampedBound(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::String> budget = 0,
-    uint64_t sequence = 0,
-    int64_t armed = 0,
-    int64_t pace = 0) {
-  StampedBoundBuilder builder_(_fbb);
-  builder_.add_pace(pace);
-  builder_.add_armed(armed);
-  builder_.add_sequence(sequence);
-  builder_.add_budget(budget);
-  return builder_.Finish();
-}
-
-inline flatbuffers::Offset<StampedBound> CreateStampedBoundDirect(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    const char *budget = nullptr,
-    uint64_t sequence = 0,
-    int64_t armed = 0,
-    int64_t pace = 0) {
-  auto budget__ = budget ? _fbb.CreateString(budget) : 0;
-  return crocuslatch::wire::CreateStampedBound(
-      _fbb,
-      budget__,
-      sequence,
-      armed,
-      pace);
-}
-
 struct ReclaimCommand FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef ReclaimCommandBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_HOLDER = 4,
-    VT_LIVED_MS = 6,
-    VT_BOUNDS = 8,
-    VT_STAMP_LIVED_MS = 10
+    VT_LIVED_MS = 6
   };
   const crocuslatch::wire::Holder *holder() const {
     return GetPointer<const crocuslatch::wire::Holder *>(VT_HOLDER);
@@ -1108,21 +1015,11 @@
   int64_t lived_ms() const {
     return GetField<int64_t>(VT_LIVED_MS, 0);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<crocuslatch::wire::StampedBound>> *bounds() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crocuslatch::wire::StampedBound>> *>(VT_BOUNDS);
-  }
-  int64_t stamp_lived_ms() const {
-    return GetField<int64_t>(VT_STAMP_LIVED_MS, 0);
-  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_HOLDER) &&
            verifier.VerifyTable(holder()) &&
            VerifyField<int64_t>(verifier, VT_LIVED_MS, 8) &&
-           VerifyOffset(verifier, VT_BOUNDS) &&
-           verifier.VerifyVector(bounds()) &&
-           verifier.VerifyVectorOfTables(bounds()) &&
-           VerifyField<int64_t>(verifier, VT_STAMP_LIVED_MS, 8) &&
            verifier.EndTable();
   }
 };
@@ -1137,12 +1034,6 @@
   void add_lived_ms(int64_t lived_ms) {
     fbb_.AddElement<int64_t>(ReclaimCommand::VT_LIVED_MS, lived_ms, 0);
   }
-  void add_bounds(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocuslatch::wire::StampedBound>>> bounds) {
-    fbb_.AddOffset(ReclaimCommand::VT_BOUNDS, bounds);
-  }
-  void add_stamp_lived_ms(int64_t stamp_lived_ms) {
-    fbb_.AddElement<int64_t>(ReclaimCommand::VT_STAMP_LIVED_MS, stamp_lived_ms, 0);
-  }
   explicit ReclaimCommandBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1158,32 +1049,13 @@
 inline flatbuffers::Offset<ReclaimCommand> CreateReclaimCommand(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<crocuslatch::wire::Holder> holder = 0,
-    int64_t lived_ms = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocuslatch::wire::StampedBound>>> bounds = 0,
-    int64_t stamp_lived_ms = 0) {
+    int64_t lived_ms = 0) {
   ReclaimCommandBuilder builder_(_fbb);
-  builder_.add_stamp_lived_ms(stamp_lived_ms);
   builder_.add_lived_ms(lived_ms);
-  builder_.add_bounds(bounds);
   builder_.add_holder(holder);
   return builder_.Finish();
 }
 
-inline flatbuffers::Offset<ReclaimCommand> CreateReclaimCommandDirect(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<crocuslatch::wire::Holder> holder = 0,
-    int64_t lived_ms = 0,
-    const std::vector<flatbuffers::Offset<crocuslatch::wire::StampedBound>> *bounds = nullptr,
-    int64_t stamp_lived_ms = 0) {
-  auto bounds__ = bounds ? _fbb.CreateVector<flatbuffers::Offset<crocuslatch::wire::StampedBound>>(*bounds) : 0;
-  return crocuslatch::wire::CreateReclaimCommand(
-      _fbb,
-      holder,
-      lived_ms,
-      bounds__,
-      stamp_lived_ms);
-}
-
 struct ShardCommand FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef ShardCommandBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
--- a/src/shard_codec.cc
+++ b/src/shard_codec.cc
@@ -32,11 +32,6 @@
   return amount;
 }
 
-// Lifetime in commands with stamped bounds that a process of the previous
-// version reads. It does not know these bounds, so it must count the whole
-// grant as used: at any pace above 0, the bound exceeds every grant by then.
-constexpr Millis kLifetimeForPreviousVersion = std::chrono::hours(24 * 365);
-
 // The verifier of FlatBuffers 2.0.8 does not check the alignment of vectors
 // whose elements are larger than their length.
 template <typename Vector>
@@ -172,21 +167,8 @@
 
 PackedBody PackBody(FlatBufferBuilder& builder, const ReclaimCommand& command) {
   const auto holder = Pack(builder, command.holder);
-  if (command.bounds.empty()) {
-    return {wire::CommandBody::ReclaimCommand,
-            wire::CreateReclaimCommand(builder, holder, command.lived.count())
-                .Union()};
-  }
-  std::vector<Offset<wire::StampedBound>> bounds;
-  for (const auto& it : command.bounds) {
-    bounds.push_back(wire::CreateStampedBoundDirect(
-        builder, it.budget.c_str(), it.sequence, it.armed, it.pace));
-  }
-  const auto packed_bounds = builder.CreateVector(bounds);
   return {wire::CommandBody::ReclaimCommand,
-          wire::CreateReclaimCommand(builder, holder,
-                                     kLifetimeForPreviousVersion.count(),
-                                     packed_bounds, command.lived.count())
+          wire::CreateReclaimCommand(builder, holder, command.lived.count())
               .Union()};
 }
 
@@ -242,18 +224,7 @@
 }
 
 ReclaimCommand Unpack(const wire::ReclaimCommand& table) {
-  ReclaimCommand command{
-      Unpack(*table.holder()), Millis{CheckAmount(table.lived_ms())}, {}};
-  if (table.bounds() == nullptr || table.bounds()->size() == 0) {
-    return command;
-  }
-  command.lived = Millis{CheckAmount(table.stamp_lived_ms())};
-  for (const auto* it : *table.bounds()) {
-    command.bounds.push_back({it->budget()->str(), it->sequence(),
-                              CheckAmount(it->armed()),
-                              CheckAmount(it->pace())});
-  }
-  return command;
+  return {Unpack(*table.holder()), Millis{CheckAmount(table.lived_ms())}};
 }
 
 FreezeCommand Unpack(const wire::FreezeCommand& table) {
--- a/src/shard_state.cc
+++ b/src/shard_state.cc
@@ -346,20 +346,6 @@
   return StatusReply(ReplyStatus::kOk);
 }
 
-// Maximum usage of a dead holder beyond what its last exchange settled. A
-// stamped bound with another sequence number is older than that exchange, or
-// the exchange that it follows never took effect.
-Tokens MaxUsage(const std::string& budget,
-                const GrantRecord& grant,
-                const ReclaimCommand& command) {
-  for (const auto& it : command.bounds) {
-    if (it.budget == budget && it.sequence == grant.last_sequence) {
-      return UsageBound(it.armed, it.pace, command.lived);
-    }
-  }
-  return UsageBound(grant.armed, grant.pace, command.lived);
-}
-
 // Tokens that the holder may have used count as used. The record stays, so that
 // a delayed copy of the holder's exchange fails: its sequence number is taken
 // or it settles more than the holder has.
@@ -373,8 +359,8 @@
       continue;
     }
     GrantRecord& grant = it->second;
-    const Tokens used =
-        std::min(MaxUsage(name, grant, command), grant.outstanding);
+    const Tokens used = std::min(
+        UsageBound(grant.armed, grant.pace, command.lived), grant.outstanding);
     reply.granted += grant.outstanding - used;
     budget.billed += used;
     grant.outstanding = 0;
--- a/src/shard_state.h
+++ b/src/shard_state.h
@@ -111,9 +111,6 @@
   // Maximum time that the holder can have lived after its last stamp
   // (core/host_stamp.h).
   Millis lived{0};
-  // Bounds that the last stamp states, at most one for each budget. Budgets
-  // without one keep the bound of the holder's last exchange.
-  std::vector<StampedBound> bounds;
   bool operator==(const ReclaimCommand&) const = default;
 };
 
--- a/src/types.h
+++ b/src/types.h
@@ -58,17 +58,6 @@
   auto operator<=>(const HolderId&) const = default;
 };
 
-// Bound on a holder's usage of one budget that its stamp states. It replaces
-// the bound of the holder's last exchange if that has this sequence number.
-struct StampedBound {
-  std::string budget;
-  std::uint64_t sequence = 0;
-  // Usage beyond what that exchange settled; see UsageBound.
-  Tokens armed = 0;
-  Tokens pace = 0;
-  auto operator<=>(const StampedBound&) const = default;
-};
-
 // Returns a new holder with a random incarnation.
 HolderId MakeHolderId(std::string host);
 
--- a/tests/correctness/holder_recovery_test.cc
+++ b/tests/correctness/holder_recovery_test.cc
@@ -89,7 +89,7 @@
   REQUIRE(it.Recover(Stamp(8, Millis{1900})) == 1);
   REQUIRE(it.applied.size() == tries);
   const ReclaimCommand expected{
-      kOld, Millis{900} + HostStampOptions{}.clock_tolerance, {}};
+      kOld, Millis{900} + HostStampOptions{}.clock_tolerance};
   CHECK(it.applied.back() ==
         std::pair<std::uint32_t, ShardCommand>(1, expected));
 }
--- a/tests/correctness/host_stamp_test.cc
+++ b/tests/correctness/host_stamp_test.cc
@@ -40,28 +40,6 @@
   }
 }
 
-// Guards against bounds that are lost or misread, after which a recovery would
-// count too few tokens as used. The previous version must reject such a stamp.
-TEST_CASE("a stamp with bounds is decoded as it was encoded") {
-  auto stamp = kStamp;
-  stamp.failure_domain = GENERATE("", "zone-a");
-  stamp.bounds = {{"an account", 3, 700, 0}, {"", 1, 0, kMaxTokens}};
-  const auto text = EncodeHostStamp(stamp);
-  CHECK(DecodeHostStamp(text) == stamp);
-  CHECK(text.starts_with("4 "));
-  const auto end = text.find(stamp.peer_address);
-  for (std::size_t i = 0; i < end; ++i) {
-    const auto cut = DecodeHostStamp(text.substr(0, i));
-    CHECK_FALSE(cut);
-  }
-  for (const auto* it :
-       {"4 00 1 2 3 -1 a:1 z", "4 00 1 2 3 1 1 b 1 -5 0 a:1 z",
-        "4 00 1 2 3 1 9999999999 b 1 5 0 a:1 z",
-        "4 00 1 2 3 1 1 b 1 99999999999999999 0 a:1 z", "4 00 1 2 3 a:1 z"}) {
-    CHECK_FALSE(DecodeHostStamp(it));
-  }
-}
-
 // Guards against reclaiming tokens that a process may have used because it
 // lived longer than the clocks suggest.
 TEST_CASE("the maximum lifetime of a process follows from clocks that agree") {
--- a/tests/correctness/shard_state_test.cc
+++ b/tests/correctness/shard_state_test.cc
@@ -1,6 +1,5 @@
 #include "src/shard_state.h"
 
-#include <algorithm>
 #include <catch2/catch.hpp>
 
 namespace crocuslatch {
@@ -180,26 +179,6 @@
   CHECK(TimeUntilUsageBound(0, 1, huge) >= Millis{1'000'000});
 }
 
-// Guards against a dead holder that is charged by the bound of its last
-// exchange although its stamp states a later one, and against applying a
-// stamped bound to a grant that a later exchange has changed.
-TEST_CASE("a stamped bound replaces that of the exchange it follows") {
-  ShardState state = StateWithLimit(1000);
-  auto open = AskFor(kFirst, 500);
-  open.armed = 300;
-  open.pace = 10;
-  Apply(state, open, 1);
-  const std::uint64_t sequence = GENERATE(0, 1, 2);
-  const Tokens stamped = GENERATE(20, 450, 800);
-  const ReclaimCommand reclaim{
-      kFirst, Millis{500}, {{"other", 1, 1, 0}, {"b", sequence, stamped, 0}}};
-  Apply(state, reclaim, 2);
-  const Tokens expected =
-      sequence == 1 ? std::min<Tokens>(stamped, 500) : Tokens{300};
-  CHECK(state.budgets.at("b").billed == expected);
-  CHECK(Available(state.budgets.at("b")) == 1000 - expected);
-}
-
 // Guards against a grant of a negative amount, which adds to the budget.
 TEST_CASE("an exchange with a negative amount is rejected") {
   ShardState state;
--- a/tests/fixture_shard.h
+++ b/tests/fixture_shard.h
@@ -22,8 +22,7 @@
       ClaimCommand{{3, 6}, {5, 6}, "b", 7, 8, holder},
       AbandonCommand{{3, 7}, 9, "b"},
       FreezeCommand{holder},
-      ReclaimCommand{holder, Millis{2500}, {}},
-      ReclaimCommand{holder, Millis{900}, {{"b", 2, 40, 5}, {"c", 1, 0, 0}}},
+      ReclaimCommand{holder, Millis{2500}},
   };
 }
 
