Reject responses whose status is outside 100 to 599

What callers saw: a backend server's answer with the status 000 was treated as an interim response. Its body was passed on in front of the body of the next response on the connection, so that an order got a sealed 200 with the body "fakedone" instead of "done"; without a next response, the request waited until its time limit. Answers with 600 to 999 were passed on as they came.

Cause: Beast accepts any three digits as a status, and HttpResponseParser took every status below 200 for an interim one. Only 1xx responses have no body by definition, so the body of a 0xx response reached the hooks of the request.

Change: the parser reports such a status as malformed. This ends the connection and is handled like any other broken answer: a repeatable request may be retried, any other gets 502 with an unknown outcome. HttpResponseParser is the only reader of HTTP responses, so the store, load reports and the tool are covered as well.

The fixture of raw servers moves to a header that both test files use; its code is unchanged.

--- a/io/http_parser.cc
+++ b/io/http_parser.cc
@@ -18,7 +18,9 @@
 // together. Bodies are not limited here: the platform's values have at most
 // 1 MB in base64, and a range response about 1 MB of items.
 constexpr std::size_t kMaxResponseHeaderBytes = 64 << 10;
+constexpr int kFirstStatus = 100;
 constexpr int kFirstFinalStatus = 200;
+constexpr int kLastStatus = 599;
 
 // What a header field takes beside its text: two strings, and room that the
 // list keeps for growth.
@@ -181,7 +183,12 @@
   void on_response_impl(int status,
                         beast::string_view,
                         int,
-                        ErrorCode&) override {
+                        ErrorCode& ec) override {
+    // Beast accepts any three digits.
+    if (status < kFirstStatus || status > kLastStatus) {
+      ec = http::error::bad_status;
+      return;
+    }
     head_.status = status;
   }
   void on_field_impl(http::field,
--- a/io/http_parser.h
+++ b/io/http_parser.h
@@ -77,7 +77,7 @@
 };
 
 // Parses one response and passes on its body as it arrives. Interim responses
-// (1xx) are skipped.
+// (1xx) are skipped; a status outside 100 to 599 is malformed.
 class HttpResponseParser {
  public:
   // `has_no_body` must be set for the response to a HEAD request.
--- /dev/null
+++ b/tests/error/broken_answer_test.cc
@@ -0,0 +1,85 @@
+#include <sys/socket.h>
+
+#include <QTimer>
+#include <catch2/catch.hpp>
+#include <string>
+#include <utility>
+
+#include "tests/raw_forwarding_fixture.h"
+
+// Responses that are not valid HTTP/1.1, or that break off, provoked between a
+// real caller and a server that writes raw bytes. None of them may reach the
+// caller as a success, and none may be reported as not run.
+
+namespace crocuslatch {
+namespace {
+
+using namespace std::string_literals;
+
+constexpr int kBadGateway = 502;
+
+void Write(QTcpSocket& socket, const std::string& bytes) {
+  socket.write(bytes.data(), static_cast<qint64>(bytes.size()));
+  socket.flush();
+}
+
+// Closes the connection with a reset.
+void Reset(QTcpSocket& socket) {
+  const linger discard{1, 0};
+  ::setsockopt(static_cast<int>(socket.socketDescriptor()), SOL_SOCKET,
+               SO_LINGER, &discard, sizeof discard);
+  socket.abort();
+}
+
+// How a server ends its connection after its last byte.
+enum class Ending { kClose, kReset, kSilence };
+
+// A server that answers every request with these bytes, either at once or byte
+// by byte.
+RawServer::OnBytes AnswerWith(std::string bytes,
+                              Ending ending,
+                              bool is_byte_by_byte = false) {
+  return [bytes = std::move(bytes), ending, is_byte_by_byte](
+             QTcpSocket& socket, const QByteArray& all) {
+    if (!HasRequest(all)) {
+      return;
+    }
+    const std::size_t step = is_byte_by_byte ? 1 : bytes.size();
+    for (std::size_t at = 0; at < bytes.size(); at += step) {
+      Write(socket, bytes.substr(at, step));
+    }
+    if (ending == Ending::kClose) {
+      socket.disconnectFromHost();
+    } else if (ending == Ending::kReset) {
+      Reset(socket);
+    }
+  };
+}
+
+void CheckOutcomeUnknown(const RawFixture::Ending& it) {
+  CHECK(it.end == HttpResult::kComplete);
+  CHECK(it.status == kBadGateway);
+  CHECK(it.body.find("outcome_unknown") != std::string::npos);
+}
+
+const std::string kWholeAnswer = kAnswerHead + "Content-Length: 4\r\n\r\ndone";
+
+}  // namespace
+
+// Guards against a response with such a status that is taken for an interim
+// one: its body was passed on in front of the next response's.
+TEST_CASE("an answer with a status outside 100 to 599 is a failure") {
+  const auto status = GENERATE("000", "001", "099", "600", "999");
+  const auto more = GENERATE(""s, kWholeAnswer);
+  const auto target = GENERATE(as<std::string>(), "/order/1", "/stream/1");
+  const bool is_byte_by_byte = GENERATE(false, true);
+  INFO(status << " " << target << " " << more);
+  auto invalid = kAnswerHead;
+  invalid.replace(invalid.find("200"), 3, status);
+  RawFixture it(AnswerWith(invalid + "Content-Length: 4\r\n\r\nfake" + more,
+                           Ending::kSilence, is_byte_by_byte));
+  CheckOutcomeUnknown(it.SendAndWaitForEnd(it.Request("POST", target)));
+  CHECK(it.client.open_connections() == 0);
+}
+
+}  // namespace crocuslatch
--- a/tests/error/server_trouble_test.cc
+++ b/tests/error/server_trouble_test.cc
@@ -4,8 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include "src/guarded_application.h"
-#include "tests/forwarding_fixture.h"
-#include "tests/raw_server.h"
+#include "tests/raw_forwarding_fixture.h"
 
 // Failures of backend servers that operators of similar systems have reported,
 // provoked between a real caller and a server that writes raw bytes.
@@ -13,56 +12,6 @@
 namespace crocuslatch {
 namespace {
 
-const std::string kAnswerHead =
-    "HTTP/1.1 200 OK\r\nCrocuslatch-Request-Id: r1\r\n"
-    "Crocuslatch-Replica-Seal: s\r\n";
-
-// The request path in front of one raw server.
-struct RawFixture : ForwardingFixture {
-  explicit RawFixture(const RawServer::OnBytes& on_bytes) : raw(on_bytes) {
-    placement.SetServers({{.id = "i-raw",
-                           .service = "s",
-                           .address = fmt::format("127.0.0.1:{}", raw.port()),
-                           .failure_domain = "a",
-                           .slots = 8}},
-                         Millis{0});
-    context->retry_budget = &no_retries;
-  }
-
-  // Sends the request and returns how it ended for the caller.
-  struct Ending {
-    HttpResult end = HttpResult::kComplete;
-    int status = 0;
-    std::string body;
-    Millis took{0};
-  };
-  Ending SendAndWaitForEnd(const HttpRequest& request) {
-    std::optional<Ending> ending;
-    const Millis begin = context->loop.now();
-    std::string received;
-    int status_seen = 0;
-    caller.Send(
-        request,
-        {.on_headers = [&](int status,
-                           const HttpHeaders&) { status_seen = status; },
-         .on_data = [&](std::string_view it) { received += it; },
-         .on_end =
-             [&](HttpResult it) {
-               ending = Ending{it, status_seen, received,
-                               context->loop.now() - begin};
-             }});
-    REQUIRE(RunUntil([&] { return ending.has_value(); }, Millis{20000}));
-    return *ending;
-  }
-
-  RawServer raw;
-  RetryBudget no_retries{{.ratio = 0, .slack = 0}};
-};
-
-bool HasRequest(const QByteArray& all) {
-  return all.contains("\r\n\r\n");
-}
-
 // Writes `first` and then `rest` again and again until the caller closes.
 void WriteWithoutEnd(QTcpSocket& socket,
                      const std::string& first,
