Test answers with invalid field names

Another operator's clients got answers in whose head the name of a field held a blank or a control byte. The system handles this already: Beast rejects such names, so the connection ends and the caller of an order gets 502 with an unknown outcome.

--- a/tests/error/broken_answer_test.cc
+++ b/tests/error/broken_answer_test.cc
@@ -82,4 +82,24 @@
   CHECK(it.client.open_connections() == 0);
 }
 
+// Guards against head lines that parsers interpret differently: as a field, as
+// part of the previous one, or as nothing.
+TEST_CASE("an answer with an invalid field name is a failure") {
+  const auto line =
+      GENERATE("X Y: 1"s, "X : 1"s, "X\t: 1"s, "X\x01Y: 1"s, "X\0Y: 1"s,
+               "X\x7f: 1"s, "X\x80: 1"s, "\0: 1"s, ": 1"s, "X"s,
+               "Content-Length : 2"s, "Content Length: 2"s,
+               "Content-Length\x0b: 2"s, "Transfer-Encoding : chunked"s);
+  const bool is_first = GENERATE(true, false);
+  const bool is_byte_by_byte = GENERATE(false, true);
+  INFO(line);
+  const std::string status_line = "HTTP/1.1 200 OK\r\n";
+  auto head = kAnswerHead;
+  head.insert(is_first ? status_line.size() : head.size(), line + "\r\n");
+  RawFixture it(AnswerWith(head + "Content-Length: 4\r\n\r\ndone",
+                           Ending::kSilence, is_byte_by_byte));
+  CheckOutcomeUnknown(it.SendAndWaitForEnd(it.Request("POST", "/order/1")));
+  CHECK(it.client.open_connections() == 0);
+}
+
 }  // namespace crocuslatch
