Reject responses with folded header lines

What callers saw: a backend server's answer in whose head a field's name began with a blank reached the caller of an order as a 200. The line had become part of the previous field's value, for example of the server's seal, and the framing that it seemed to state was ignored.

Cause: Beast replaces such a line break by a blank (obs-fold). RFC 9112, 5.2 leaves a gateway that choice for responses, or a 502. No sound server folds lines, and the line's meaning depends on the parser.

Change: HttpResponseParser checks the head before Beast joins its lines, and reports a malformed response.

Evidence: the new test failed before in 10 of 20 combinations (five lines, first or last in the head, whole or byte by byte): the caller got 200 when the line was not the first. All get 502 now; 88 cases of test_error pass.

--- a/io/http_parser.cc
+++ b/io/http_parser.cc
@@ -71,6 +71,14 @@
   });
 }
 
+// Returns whether the head that `bytes` begins with has a line that continues
+// the field before it (obs-fold in RFC 9112). Beast would join the two.
+bool HasFoldedLine(std::string_view bytes) {
+  const auto head = bytes.substr(0, bytes.find("\r\n\r\n"));
+  return head.find("\r\n ") != std::string_view::npos ||
+         head.find("\r\n\t") != std::string_view::npos;
+}
+
 }  // namespace
 
 class HttpRequestParser::Impl : public http::basic_parser<true> {
@@ -240,6 +248,11 @@
 ParseResult HttpResponseParser::Parse(std::string_view bytes) {
   ParseResult total;
   while (true) {
+    // Beast consumes nothing of a head before its end has arrived.
+    if (!impl_->is_header_done() && HasFoldedLine(bytes.substr(total.used))) {
+      total.state = ParseState::kMalformed;
+      return total;
+    }
     const auto result = FeedParser(*impl_, bytes.substr(total.used));
     total.used += result.used;
     total.state = result.state;
--- a/tests/error/broken_answer_test.cc
+++ b/tests/error/broken_answer_test.cc
@@ -102,4 +102,22 @@
   CHECK(it.client.open_connections() == 0);
 }
 
+// Guards against a field name with a leading blank: such a line continues the
+// previous field's value, so the framing that it seems to state is lost and a
+// caller gets a value that the server did not mean.
+TEST_CASE("an answer with a folded field line is a failure") {
+  const auto line =
+      GENERATE(" X: 1"s, "\tX: 1"s, " Content-Length: 2"s, " "s, "\t"s);
+  const bool is_first = GENERATE(true, false);
+  const bool is_byte_by_byte = GENERATE(false, true);
+  INFO(line);
+  const std::string status_line = "HTTP/1.1 200 OK\r\n";
+  auto head = kAnswerHead;
+  head.insert(is_first ? status_line.size() : head.size(), line + "\r\n");
+  RawFixture it(AnswerWith(head + "Content-Length: 4\r\n\r\ndone",
+                           Ending::kSilence, is_byte_by_byte));
+  CheckOutcomeUnknown(it.SendAndWaitForEnd(it.Request("POST", "/order/1")));
+  CHECK(it.client.open_connections() == 0);
+}
+
 }  // namespace crocuslatch
