Report a reset that a write met as a reset

What callers saw: a backend server answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer.

Cause: the kernel reports a reset to one system call only. If that was the write of the request's next bytes, TcpSocket dropped the error, and the reads after it returned what had arrived and then 0, as at an orderly end. The end of the connection is all that marks the end of such a response, so it counted as complete.

Change: TcpSocket remembers that a write failed and then reports the end of the connection as a reset. This also covers a connection whose write failed for another reason. Responses with a length or chunks are not affected, nor is a server that ends its response in order while the upload is being written.

--- a/io/tcp_socket.cc
+++ b/io/tcp_socket.cc
@@ -214,7 +214,9 @@
     message.msg_iovlen = count;
     const auto n = ::sendmsg(descriptor_, &message, MSG_NOSIGNAL);
     if (n < 0) {
-      // A reset is reported by the next read, after the data that preceded it.
+      // The kernel reports a reset only once. The next reads return the data
+      // that preceded it, and then look like an orderly end.
+      has_send_failed_ = has_send_failed_ || !WouldBlock(errno);
       break;
     }
     DropSent(static_cast<std::size_t>(n));
@@ -237,7 +239,7 @@
   if (n > 0) {
     hooks_.on_bytes({buf.data(), static_cast<std::size_t>(n)});
   } else if (n == 0) {
-    End(TcpCloseReason::kClosed);
+    End(has_send_failed_ ? TcpCloseReason::kReset : TcpCloseReason::kClosed);
   } else if (!WouldBlock(errno)) {
     End(TcpCloseReason::kReset);
   }
--- a/io/tcp_socket.h
+++ b/io/tcp_socket.h
@@ -24,7 +24,8 @@
 enum class TcpCloseReason {
   // The peer closed its side in order.
   kClosed,
-  // Connection reset, or data not acknowledged in time.
+  // Connection reset, also while data was written to it, or data not
+  // acknowledged in time.
   kReset,
   kConnectFailed,
 };
@@ -82,6 +83,8 @@
   TcpSocketHooks hooks_;
   int descriptor_ = -1;
   bool is_connected_ = false;
+  // The connection broke while data was written.
+  bool has_send_failed_ = false;
   std::unique_ptr<QSocketNotifier> readable_;
   std::unique_ptr<QSocketNotifier> writable_;
   QTimer read_again_;
--- a/tests/error/broken_answer_test.cc
+++ b/tests/error/broken_answer_test.cc
@@ -120,4 +120,65 @@
   CHECK(it.client.open_connections() == 0);
 }
 
+// Guards against a success that consists of what arrived before a reset. The
+// reset may be reported to a write of the request before it is to a read.
+TEST_CASE("an unframed answer that is reset during the upload is a failure") {
+  constexpr std::size_t kUploadBytes = 16 << 20;
+  const int reset_after_ms = GENERATE(0, 0, 0, 5, 30);
+  const auto target = GENERATE(as<std::string>(), "/order/1", "/stream/1");
+  INFO(reset_after_ms << " " << target);
+  bool has_answered = false;
+  RawFixture it([&](QTcpSocket& socket, const QByteArray& all) {
+    if (!HasRequest(all) || std::exchange(has_answered, true)) {
+      return;
+    }
+    // Leaves the rest of the request unread.
+    socket.setReadBufferSize(1);
+    Write(socket,
+          kAnswerHead + "Connection: close\r\n\r\n" + "id: 1\ndata: part\n\n");
+    reset_after_ms == 0 ? Reset(socket)
+                        : QTimer::singleShot(reset_after_ms, &socket,
+                                             [&socket] { Reset(socket); });
+  });
+  HttpServer front({.max_body_bytes = 2 * kUploadBytes},
+                   [&](const IncomingRequest& request, HttpReply reply) {
+                     ForwardRequest(it.context, request, std::move(reply));
+                   });
+  auto request = it.Request("POST", target);
+  request.url = fmt::format("http://127.0.0.1:{}{}", front.port(), target);
+  request.body = std::string(kUploadBytes, 'u');
+  const auto ending = it.SendAndWaitForEnd(request);
+  if (ending.status == 200) {
+    CHECK(target == "/stream/1");
+    CHECK(ending.end == HttpResult::kBroken);
+  } else {
+    CheckOutcomeUnknown(ending);
+  }
+}
+
+// The counterpart: a server that has answered need not read the request.
+TEST_CASE("an unframed answer that ends in order during the upload is whole") {
+  constexpr std::size_t kUploadBytes = 16 << 20;
+  bool has_answered = false;
+  RawFixture it([&](QTcpSocket& socket, const QByteArray& all) {
+    if (!HasRequest(all) || std::exchange(has_answered, true)) {
+      return;
+    }
+    socket.setReadBufferSize(1);
+    Write(socket, kAnswerHead + "Connection: close\r\n\r\ndone");
+    ::shutdown(static_cast<int>(socket.socketDescriptor()), SHUT_WR);
+  });
+  HttpServer front({.max_body_bytes = 2 * kUploadBytes},
+                   [&](const IncomingRequest& request, HttpReply reply) {
+                     ForwardRequest(it.context, request, std::move(reply));
+                   });
+  auto request = it.Request("POST", "/order/1");
+  request.url = fmt::format("http://127.0.0.1:{}/order/1", front.port());
+  request.body = std::string(kUploadBytes, 'u');
+  const auto ending = it.SendAndWaitForEnd(request);
+  CHECK(ending.end == HttpResult::kComplete);
+  CHECK(ending.status == 200);
+  CHECK(ending.body == "done");
+}
+
 }  // namespace crocuslatch
