Test answers that end within their heads

Other operators' clients got a 200 with an empty or short body, framed as whole, when a server stopped in the middle of its answer's head and closed. The system handles this already: HttpResponseParser completes a response at the end of its connection only after its head.

--- a/tests/error/broken_answer_test.cc
+++ b/tests/error/broken_answer_test.cc
@@ -181,4 +181,22 @@
   CHECK(ending.body == "done");
 }
 
+// Guards against an empty or short body that is framed as a whole one.
+TEST_CASE("an answer that ends within its head is a failure") {
+  const auto target = GENERATE(as<std::string>(), "/order/1", "/stream/1");
+  const auto ending = GENERATE(Ending::kClose, Ending::kReset);
+  const auto framing =
+      GENERATE("Content-Length: 4\r\n"s, "Transfer-Encoding: chunked\r\n"s,
+               "Connection: close\r\n"s);
+  const auto interim = GENERATE(""s, "HTTP/1.1 100 Continue\r\n\r\n"s);
+  const auto head = interim + kAnswerHead + framing + "\r\n";
+  constexpr std::size_t kStep = 3;
+  for (std::size_t n = head.size() % kStep + 1; n < head.size(); n += kStep) {
+    RawFixture it(AnswerWith(head.substr(0, n), ending));
+    const auto result = it.SendAndWaitForEnd(it.Request("POST", target));
+    INFO(target << " " << head.substr(0, n));
+    CheckOutcomeUnknown(result);
+  }
+}
+
 }  // namespace crocuslatch
