Give up on a response whose stated length exceeds the limit at once

What callers saw: a backend server that stated a length beyond the 8 MB that are held was read until the limit, or until the time limit if it sent little, and only then did the caller get its error; room for 8 MB was reserved meanwhile.

Cause: the limit was checked against the received bytes only.

Change: the stated length of a response that is not streamed is checked when its head arrives, except for HEAD, whose response has no body.

Evidence: the new test (a head that states 900 MB, and no body) failed before: 504 after 2001 ms.

--- a/app/forwarding.cc
+++ b/app/forwarding.cc
@@ -456,6 +456,11 @@
     const auto length = FindHeader(headers, "Content-Length");
     std::from_chars(length.data(), length.data() + length.size(),
                     stated_length_);
+    if (IsSuccess(status) && !IsStreamingResponse() && method_ != "HEAD" &&
+        stated_length_ > context_->limits.max_buffered_bytes) {
+      AbandonServer(HttpResult::kTooLarge, "answer_too_large");
+      return;
+    }
     if (IsSuccess(status) && !response.has_seal) {
       return;
     }
--- a/tests/error/server_trouble_test.cc
+++ b/tests/error/server_trouble_test.cc
@@ -330,6 +330,21 @@
   CHECK(answer.status == (size <= 1000 ? 200 : 502));
 }
 
+// Guards against a wait for a body that cannot be held.
+TEST_CASE("an answer that states a length beyond the limit ends at its head") {
+  RawFixture it([](QTcpSocket& socket, const QByteArray& all) {
+    if (HasRequest(all)) {
+      const auto head = kAnswerHead + "Content-Length: 900000000\r\n\r\n";
+      socket.write(head.data(), static_cast<qint64>(head.size()));
+    }
+  });
+  const auto ending = it.SendAndWaitForEnd(it.Request("POST", "/order/1"));
+  CHECK(ending.took < kSoon);
+  CHECK(ending.status == 502);
+  CHECK(ending.body.find("outcome_unknown") != std::string::npos);
+  CHECK(it.client.open_connections() == 0);
+}
+
 // A stalled server keeps its stream alive with bytes that complete no event.
 TEST_CASE("a stalled stream that sends a byte now and then ends") {
   RawFixture it([](QTcpSocket& socket, const QByteArray& all) {
