Charge all that is held of servers' responses to the memory account

What callers saw: a backend server in trouble that sent bytes without end to 300 requests at once made a host of 48 MB take up to 106 MB. A process over its limit is killed, and the requests of all its callers end with it.

Cause: only bodies were charged, and only those of more than 64 KiB took turns while memory was short. The incomplete event of a stream (up to 256 KiB each) and bytes that cannot be parsed yet, such as a head or a chunk header without an end (up to 64 KiB each), were not charged at all, and 300 responses could grow by 64 KiB with each read at the same time.

Change: the charge of a response covers its body, its incomplete event and twice its unparsed bytes, since these are copied with each read. Above half of the account, responses of more than 16 KiB take turns, and the others are read in steps of 4 KiB. HttpHooks and TcpSocketHooks ask for the number of bytes to read instead of whether to read.

--- a/app/caller_memory.cc
+++ b/app/caller_memory.cc
@@ -27,7 +27,7 @@
   hooks->add = [account](std::ptrdiff_t n) { account->Add(n); };
   hooks->may_read = [account](std::size_t n) { return account->MayRead(n); };
   hooks->is_full = [account] { return account->IsFull(); };
-  hooks->large_response_bytes = MemoryAccountOptions{}.share_bytes;
+  hooks->large_response_bytes = MemoryAccountOptions{}.large_response_bytes;
   hooks->begin_large_response = [account] {
     return account->BeginLargeResponse();
   };
--- a/app/forwarding.cc
+++ b/app/forwarding.cc
@@ -345,7 +345,6 @@
     is_sealed_ = false;
     not_executed_ = false;
     ReleaseResponse();
-    event_splitter_ = {};
     auto headers = platform::FilterRequestHeaders(headers_);
     platform::AddDispatchHeaders(
         {.time_left = deadline_ - now,
@@ -410,7 +409,12 @@
          .on_data = if_current([](ForwardedRequest& self, std::string_view it) {
            self.OnData(it);
          }),
-         .may_read = [self = shared_from_this()] { return self->MayRead(); },
+         .on_buffered = if_current([](ForwardedRequest& self, std::size_t it) {
+           self.unparsed_bytes_ = it;
+           self.ChargeResponse();
+         }),
+         .read_limit = [self =
+                            shared_from_this()] { return self->ReadLimit(); },
          .on_end =
              [self = shared_from_this(),
               on_end = if_current([](ForwardedRequest& self, HttpResult it) {
@@ -501,7 +505,6 @@
     EndDispatch(DispatchResult::kFailed, end);
     call_.Cancel();
     ReleaseResponse();
-    event_splitter_ = {};
     Retry(true, reason);
   }
 
@@ -510,23 +513,27 @@
            is_sealed_;
   }
 
-  // Whether the response may be read on; see MemoryHooks.
-  bool MayRead() {
+  // Number of bytes of the response that may be read now; see MemoryHooks.
+  std::size_t ReadLimit() {
     if (!context_->memory || is_done_) {
-      return true;
-    }
-    if (!IsStreamingResponse()) {
-      return response_charge_.MayRead();
+      return kNoReadLimit;
     }
-    const bool may_read =
-        reply_.unsent_bytes() < (context_->memory->may_read(kStreamBufferBytes)
-                                     ? kStreamBufferBytes
-                                     : kShortStreamBufferBytes);
-    if (!may_read) {
+    if (IsStreamingResponse() &&
+        reply_.unsent_bytes() >= (context_->memory->may_read(kStreamBufferBytes)
+                                      ? kStreamBufferBytes
+                                      : kShortStreamBufferBytes)) {
       // The caller is slow, not the server.
       last_event_at_ = context_->loop.now();
+      return 0;
     }
-    return may_read;
+    return response_charge_.ReadLimit();
+  }
+
+  // Charges what is held of the server's response, on its way to the caller.
+  // Bytes that cannot be parsed yet are copied with each read.
+  void ChargeResponse() {
+    response_charge_.Set(response_body_.size() +
+                         event_splitter_.partial_bytes() + 2 * unparsed_bytes_);
   }
 
   void OnData(std::string_view bytes) {
@@ -542,7 +549,7 @@
             std::min(stated_length_, context_->limits.max_buffered_bytes));
       }
       response_body_ += bytes;
-      response_charge_.Set(response_body_.size());
+      ChargeResponse();
       return;
     }
     for (const auto& event : event_splitter_.Add(bytes)) {
@@ -566,11 +573,14 @@
         event_splitter_.partial_bytes() > context_->limits.max_event_bytes) {
       AbandonServer(HttpResult::kTooLarge, "event_too_large");
     }
+    ChargeResponse();
   }
 
   void ReleaseResponse() {
     response_body_ = {};
-    response_charge_.Set(0);
+    event_splitter_ = {};
+    unparsed_bytes_ = 0;
+    ChargeResponse();
   }
 
   // The server survives the beginning of its response to this prompt.
@@ -912,6 +922,8 @@
   std::string response_body_;
   ResponseCharge response_charge_;
   platform::StreamEventSplitter event_splitter_;
+  // Received bytes of the response that could not be parsed yet.
+  std::size_t unparsed_bytes_ = 0;
 
   std::set<std::string> tried_servers_;
   int attempts_ = 0;
--- a/core/memory_account.h
+++ b/core/memory_account.h
@@ -22,6 +22,9 @@
   double large_fraction = 0.5;
   // A holder of more is large.
   std::size_t share_bytes = 64 << 10;
+  // A response of which more is held is large. Many responses are held at once,
+  // and small ones are read on even if the account is full.
+  std::size_t large_response_bytes = 16 << 10;
   // Holders yield until this fraction of the limit is held.
   double relief_fraction = 0.4;
 };
@@ -49,8 +52,8 @@
   bool IsUnderPressure() const;
   bool IsFull() const;
 
-  // Large responses that are held until they are complete take turns: the
-  // oldest one is read on, since its end frees memory. While the account is
+  // Large responses take turns: the oldest one is read on, since its end frees
+  // memory. While the account is
   // full, it waits too, unless nobody could yield.
   std::uint64_t BeginLargeResponse();
   void EndLargeResponse(std::uint64_t turn);
--- a/io/http_client.cc
+++ b/io/http_client.cc
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "io/http_parser.h"
+#include "io/memory_charge.h"
 #include "io/tcp_socket.h"
 #include "src/ip_endpoint.h"
 
@@ -156,7 +157,7 @@
         authority_(std::move(authority)),
         socket_({.on_connected = [this] { OnConnected(); },
                  .on_bytes = [this](auto bytes) { OnBytes(bytes); },
-                 .may_read = [this] { return MayRead(); },
+                 .read_limit = [this] { return ReadLimit(); },
                  .on_end = [this](TcpCloseReason end) { OnSocketEnd(end); }}) {
     timer_.setSingleShot(true);
     connect(&timer_, &QTimer::timeout, this, [this] { OnTimer(); });
@@ -177,6 +178,7 @@
                           ? std::optional(SteadyNow() + request.total_timeout)
                           : std::nullopt;
     is_reusable_ = true;
+    reported_bytes_ = 0;
     is_sent_ = false;
     has_response_ = false;
     has_no_body_ = request.method == "HEAD";
@@ -323,12 +325,12 @@
   }
 
   // Without a call, a read shows that the server has closed the connection.
-  bool MayRead() const {
-    if (!call_ || is_withdrawn_ || !call_->hooks->may_read) {
-      return true;
+  std::size_t ReadLimit() const {
+    if (!call_ || is_withdrawn_ || !call_->hooks->read_limit) {
+      return kNoReadLimit;
     }
     const auto hooks = call_->hooks;
-    return hooks->may_read();
+    return hooks->read_limit();
   }
 
   void OnBytes(std::string_view bytes) {
@@ -370,6 +372,7 @@
         return;
       }
       if (result.state == ParseState::kNeedsMore) {
+        ReportBuffered();
         return;
       }
       if (result.state != ParseState::kDone) {
@@ -387,6 +390,15 @@
     }
   }
 
+  void ReportBuffered() {
+    if (std::exchange(reported_bytes_, buffer_.size()) == buffer_.size() ||
+        !call_ || !call_->hooks->on_buffered) {
+      return;
+    }
+    const auto hooks = call_->hooks;
+    hooks->on_buffered(buffer_.size());
+  }
+
   void OnSocketEnd(TcpCloseReason end) {
     if (!call_) {
       Discard();
@@ -464,6 +476,7 @@
   SharedBytes request_head_;
   SharedBytes request_body_;
   std::string buffer_;
+  std::size_t reported_bytes_ = 0;
   Millis first_byte_timeout_{0};
   Millis stall_timeout_{0};
   Millis timeout_{0};
--- a/io/http_client.h
+++ b/io/http_client.h
@@ -63,8 +63,11 @@
   std::function<bool(int status, const HttpHeaders&)> accepts_response;
   std::function<void(int status, const HttpHeaders&)> on_headers;
   std::function<void(std::string_view)> on_data;
+  // Called when the number of received bytes that the client holds because they
+  // are an incomplete head, chunk header or trailer changes. May be empty.
+  std::function<void(std::size_t)> on_buffered;
   // Asked before each read of the response; see TcpSocketHooks. May be empty.
-  std::function<bool()> may_read;
+  std::function<std::size_t()> read_limit;
   // Called exactly once, as the last hook, unless the client is destroyed
   // first.
   std::function<void(HttpResult)> on_end;
--- a/io/memory_charge.h
+++ b/io/memory_charge.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <utility>
 #include <vector>
@@ -27,8 +28,8 @@
   // Whether more may be read for a holder of `held` bytes.
   std::function<bool(std::size_t held)> may_read;
   std::function<bool()> is_full;
-  // Responses that are held until they are complete: the oldest large one may
-  // always be read on, so that it ends and frees its memory.
+  // Responses of which more than this is held take turns while memory is short:
+  // the oldest one may always be read on, so that it ends and frees its memory.
   std::size_t large_response_bytes = 0;
   std::function<std::uint64_t()> begin_large_response;
   std::function<void(std::uint64_t)> end_large_response;
@@ -65,7 +66,9 @@
   std::size_t bytes_ = 0;
 };
 
-// Charges a response that is held until it is complete.
+constexpr std::size_t kNoReadLimit = std::numeric_limits<std::size_t>::max();
+
+// Charges what is held of a server's response.
 class ResponseCharge {
  public:
   explicit ResponseCharge(const std::shared_ptr<const MemoryHooks>& hooks)
@@ -82,12 +85,24 @@
     const bool is_large = bytes > hooks_->large_response_bytes;
     if (is_large && turn_ == 0) {
       turn_ = hooks_->begin_large_response();
-    } else if (bytes == 0 && turn_ != 0) {
+    } else if (!is_large && turn_ != 0) {
       hooks_->end_large_response(std::exchange(turn_, 0));
     }
   }
-  bool MayRead() const {
-    return turn_ == 0 || hooks_->may_read_large_response(turn_);
+  // Number of bytes that may be read now; 0 means to wait.
+  std::size_t ReadLimit() const {
+    if (!hooks_) {
+      return kNoReadLimit;
+    }
+    if (turn_ != 0 && !hooks_->may_read_large_response(turn_)) {
+      return 0;
+    }
+    // Many responses may begin at once, so each grows in small steps while
+    // memory is short.
+    constexpr std::size_t kStepsUntilLarge = 4;
+    return hooks_->may_read(kNoReadLimit)
+               ? kNoReadLimit
+               : hooks_->large_response_bytes / kStepsUntilLarge;
   }
 
  private:
--- a/io/tcp_socket.cc
+++ b/io/tcp_socket.cc
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include <QTimer>
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <cstring>
@@ -229,13 +230,15 @@
   if (!is_connected_) {
     return;
   }
-  const bool may_read = !hooks_.may_read || hooks_.may_read();
-  readable_->setEnabled(may_read);
-  if (!may_read) {
+  const auto limit = hooks_.read_limit
+                         ? std::min(hooks_.read_limit(), buf.size())
+                         : buf.size();
+  readable_->setEnabled(limit > 0);
+  if (limit == 0) {
     read_again_.start(kReadAgainInterval);
     return;
   }
-  const auto n = ::recv(descriptor_, buf.data(), buf.size(), 0);
+  const auto n = ::recv(descriptor_, buf.data(), limit, 0);
   if (n > 0) {
     hooks_.on_bytes({buf.data(), static_cast<std::size_t>(n)});
   } else if (n == 0) {
--- a/io/tcp_socket.h
+++ b/io/tcp_socket.h
@@ -33,9 +33,10 @@
 struct TcpSocketHooks {
   std::function<void()> on_connected;
   std::function<void(std::string_view)> on_bytes;
-  // Asked before each read. While it returns false, nothing is read, so that
-  // TCP makes the peer wait; it is asked again soon. May be empty.
-  std::function<bool()> may_read;
+  // Asked before each read for the largest number of bytes to read. While it
+  // returns 0, nothing is read, so that TCP makes the peer wait; it is asked
+  // again soon. May be empty.
+  std::function<std::size_t()> read_limit;
   // Called at most once, after the socket has been closed.
   std::function<void(TcpCloseReason)> on_end;
 };
