Answer the requests that a planned stop cannot wait for

What callers saw: requests that were still in flight shortly before the end of the grace period, among them orders, lost their connection without an answer when the process exited.

Cause: the stop waited for them until a second before the end of the grace period, returned its tokens and exited, and the destruction of the callers' server closed their connections. (Requests that come later than 2.5 s after the signal were refused before, as not run.)

Change: OpenRequests knows the requests in flight. Before the tokens are returned, each is ended like one whose time limit passed: its dispatch is withdrawn, and the caller gets 503 if it certainly was not run, else 502 with an unknown outcome. Only a stream that has begun is cut, since it must not look complete. The return of tokens waits 200 ms for the withdrawals, so that the tokens of these requests are returned too.

--- a/app/forwarding.cc
+++ b/app/forwarding.cc
@@ -43,6 +43,9 @@
 // Retry-After of a request that waited unread on this host until its time limit
 // may have passed. The caller's next connection may reach another host.
 constexpr Millis kReadLateRetryAfter{50};
+// Retry-After of a request that was not run when its host stopped. Other hosts
+// are in rotation.
+constexpr Millis kStoppedRetryAfter{20};
 
 // Retry-After of a request that no server could be found for.
 constexpr Millis kDispatchRetryAfter{200};
@@ -119,6 +122,13 @@
         self->OnCallerDisconnected();
       }
     });
+    if (context_->open_requests != nullptr) {
+      open_id_ = context_->open_requests->Add([weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+          self->OnHostStopped();
+        }
+      });
+    }
     if (!ResolveRoute() || FailIfTooLarge()) {
       return;
     }
@@ -801,6 +811,16 @@
     }
   }
 
+  // The grace period of a planned stop is over.
+  void OnHostStopped() {
+    if (is_done_) {
+      return;
+    }
+    CancelDispatch();
+    FailDispatch("stopped", "the router stopped before the request was done",
+                 kStoppedRetryAfter);
+  }
+
   void Fail(const Failure& failure) {
     if (is_done_) {
       return;
@@ -838,6 +858,9 @@
 
   void Finish(std::string_view outcome, int status) {
     is_done_ = true;
+    if (open_id_) {
+      context_->open_requests->Remove(*open_id_);
+    }
     ReleaseResponse();
     Settle();
     if (reservation_) {
@@ -892,6 +915,7 @@
   const Millis unread_time_;
   const Millis arrived_at_;
   Millis deadline_{0};
+  std::optional<OpenRequests::Id> open_id_;
   platform::CallerHeaders caller_;
   RoutingTablePointer routing_table_;
   const RouteSpec* route_ = nullptr;
--- a/app/forwarding.h
+++ b/app/forwarding.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 
+#include "app/open_requests.h"
 #include "app/prompt_quarantine.h"
 #include "app/token_loans.h"
 #include "core/desired_state.h"
@@ -51,6 +52,8 @@
   std::shared_ptr<const MemoryHooks> memory;
   // May be null.
   PromptQuarantine* quarantine = nullptr;
+  // Ends requests in flight at the end of a planned stop. May be null.
+  OpenRequests* open_requests = nullptr;
   // Returns the active routing table, or null until the first one is loaded.
   std::function<RoutingTablePointer()> routing_table;
   // Reserves tokens of a client account, waiting at most `wait`; see
--- a/app/front.cc
+++ b/app/front.cc
@@ -17,6 +17,7 @@
 #include "app/holder_recovery.h"
 #include "app/host_directory.h"
 #include "app/load_broadcast.h"
+#include "app/open_requests.h"
 #include "app/prompt_quarantine.h"
 #include "app/relayed_store.h"
 #include "app/server_registry_reader.h"
@@ -73,6 +74,9 @@
 // stay where their accounts' reserves are: if all hosts of a failure domain
 // left, the balancer would use all of them and redistribute the callers.
 constexpr Millis kRefusalWindow{3000};
+// Time for servers to close or respond after the requests that a planned stop
+// cannot wait for were withdrawn. Their tokens are settled by then.
+constexpr Millis kWithdrawalTime{200};
 // Period at which a planned stop checks its progress.
 constexpr Millis kStopPollPeriod{20};
 // Delay from the start to the recovery of the previous process's tokens. It
@@ -230,6 +234,7 @@
   // Applies commands to shards by this host's own writes.
   ApplyToShard local_ledger;
   std::unique_ptr<GrantTable> grants;
+  OpenRequests open_requests;
   std::shared_ptr<ForwardContext> context;
   std::unique_ptr<HttpServer> caller_server;
   std::unique_ptr<HttpServer> readiness_server;
@@ -835,6 +840,7 @@
     };
     context->metrics = &metrics_registry;
     context->quarantine = quarantine.get();
+    context->open_requests = &open_requests;
     context->memory = caller_memory.hooks();
     context->random = &RandomDouble;
   }
@@ -1018,6 +1024,14 @@
                });
   }
 
+  void ReturnTokens() {
+    grants->ReturnAll([self = weak_from_this()] {
+      if (const auto core = self.lock()) {
+        core->is_return_done = true;
+      }
+    });
+  }
+
   void AdvanceStop(const std::function<void()>& stopped) {
     const Millis now = loop.now();
     const auto step =
@@ -1033,11 +1047,9 @@
     }
     if (step == StopStep::kReturnTokens) {
       return_began_at = now;
-      grants->ReturnAll([self = weak_from_this()] {
-        if (const auto core = self.lock()) {
-          core->is_return_done = true;
-        }
-      });
+      const bool has_ended_any = open_requests.EndAll();
+      loop.after(has_ended_any ? kWithdrawalTime : Millis{0},
+                 [self = shared_from_this()] { self->ReturnTokens(); });
     }
     loop.after(kStopPollPeriod, [self = shared_from_this(), stopped] {
       self->AdvanceStop(stopped);
--- a/tests/resources/limited_host.h
+++ b/tests/resources/limited_host.h
@@ -144,6 +144,7 @@
 
   std::uint16_t port() const { return port_; }
   bool IsRunning() const { return process_->IsRunning(); }
+  Process& process() { return *process_; }
 
   // Registers a server of the service "faulty", which serves the routes
   // "/faulty/" and "/faulty-stream/".
