Reject responses that switch protocols

What callers saw: after a backend server's 101, the next bytes on the connection were taken for its response, and an order got 200; without such bytes it waited for its time limit.

Cause: HttpResponseParser skipped 101 like the other interim responses. The bytes after it belong to another protocol (RFC 9110, 7.8), and no request of this client has an Upgrade header, since it is not forwarded.

Change: the status 101 is malformed.

Evidence: the new test failed before in both plays (200 with the following bytes, 504 after 2 s without them). Both get 502 now; 93 cases of test_error pass.

--- a/io/http_parser.cc
+++ b/io/http_parser.cc
@@ -19,6 +19,7 @@
 // 1 MB in base64, and a range response about 1 MB of items.
 constexpr std::size_t kMaxResponseHeaderBytes = 64 << 10;
 constexpr int kFirstStatus = 100;
+constexpr int kSwitchingProtocols = 101;
 constexpr int kFirstFinalStatus = 200;
 constexpr int kLastStatus = 599;
 
@@ -192,8 +193,10 @@
                         beast::string_view,
                         int,
                         ErrorCode& ec) override {
-    // Beast accepts any three digits.
-    if (status < kFirstStatus || status > kLastStatus) {
+    // Beast accepts any three digits. After 101, the bytes are not HTTP, and no
+    // request of this client asks for that.
+    if (status < kFirstStatus || status > kLastStatus ||
+        status == kSwitchingProtocols) {
       ec = http::error::bad_status;
       return;
     }
--- a/io/http_parser.h
+++ b/io/http_parser.h
@@ -77,8 +77,8 @@
 };
 
 // Parses one response and passes on its body as it arrives. Interim responses
-// (1xx) are skipped; a status outside 100 to 599 and a folded header line are
-// malformed.
+// (1xx) are skipped. A status outside 100 to 599, the status 101 and a folded
+// header line are malformed.
 class HttpResponseParser {
  public:
   // `has_no_body` must be set for the response to a HEAD request.
--- a/tests/error/broken_answer_test.cc
+++ b/tests/error/broken_answer_test.cc
@@ -82,6 +82,19 @@
   CHECK(it.client.open_connections() == 0);
 }
 
+// Guards against bytes of another protocol that are taken for a response. No
+// request asks for an upgrade.
+TEST_CASE("an answer that switches protocols is a failure") {
+  const auto more = GENERATE(""s, kWholeAnswer);
+  RawFixture it(
+      AnswerWith("HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\n"
+                 "Upgrade: other\r\n\r\n" +
+                     more,
+                 Ending::kSilence));
+  CheckOutcomeUnknown(it.SendAndWaitForEnd(it.Request("POST", "/order/1")));
+  CHECK(it.client.open_connections() == 0);
+}
+
 // Guards against head lines that parsers interpret differently: as a field, as
 // part of the previous one, or as nothing.
 TEST_CASE("an answer with an invalid field name is a failure") {
