Limit the responses that are skipped before a request's own

What callers saw: a backend server that sent responses to another request without end, or one without an end, kept the caller waiting until its time limit, and the host read and dropped its bytes all the while.

Cause: the limits hold for a response that is accepted. One that belongs to another request was skipped without a limit.

--- a/io/http_client.cc
+++ b/io/http_client.cc
@@ -33,6 +33,10 @@
 // line without end.
 constexpr std::size_t kMaxUnparsedBytes = 64 << 10;
 
+// Limit for responses to other requests that are skipped while a request waits
+// for its own. One of them is as large as a collected response at most.
+constexpr std::size_t kMaxSkippedBytes = kMaxCollectedBytes;
+
 // Maximum number of idle connections per server; the least recently used
 // ones beyond it are closed.
 constexpr std::size_t kMaxIdlePerServer = 64;
@@ -179,6 +183,7 @@
                           : std::nullopt;
     is_reusable_ = true;
     reported_bytes_ = 0;
+    skipped_bytes_ = 0;
     is_sent_ = false;
     has_response_ = false;
     has_no_body_ = request.method == "HEAD";
@@ -366,8 +371,10 @@
       const auto result = parser_->Parse(rest);
       rest.remove_prefix(result.used);
       buffer_ = rest;
+      skipped_bytes_ += is_skipping_ ? result.used : 0;
       if (result.state == ParseState::kHeaderTooLarge ||
-          buffer_.size() > kMaxUnparsedBytes) {
+          buffer_.size() > kMaxUnparsedBytes ||
+          skipped_bytes_ > kMaxSkippedBytes) {
         Finish(HttpResult::kTooLarge);
         return;
       }
@@ -477,6 +484,7 @@
   SharedBytes request_body_;
   std::string buffer_;
   std::size_t reported_bytes_ = 0;
+  std::size_t skipped_bytes_ = 0;
   Millis first_byte_timeout_{0};
   Millis stall_timeout_{0};
   Millis timeout_{0};
--- a/tests/error/server_trouble_test.cc
+++ b/tests/error/server_trouble_test.cc
@@ -299,6 +299,14 @@
        std::string(1000, 't'), "/order/1"},
       {kAnswerHead + "Connection: close\r\n\r\ndata: ", std::string(1000, 'd'),
        "/stream/1"},
+      // In the body of an answer to another request, and in such answers.
+      {"HTTP/1.1 200 OK\r\nCrocuslatch-Request-Id: r0\r\n\r\n",
+       std::string(1000, 'f'), "/order/1"},
+      {"",
+       "HTTP/1.1 200 OK\r\nCrocuslatch-Request-Id: r0\r\n"
+       "Content-Length: 1000\r\n\r\n" +
+           std::string(1000, 'g'),
+       "/order/1"},
   }));
   INFO(first.substr(first.size() > 40 ? first.size() - 40 : 0)
        << " " << target);
