Limit what an engine's stream and error response may hold

What callers saw: an engine that sent bytes without a line end after its 200, or an error response without an end, never ended the request: the caller waited without an answer, and of the stream every byte was kept until the process ran out of memory.

Cause: the stall timeout of the router's own model requests only starts at silence. SseParser kept an incomplete line without a limit, and the body of an error response was read to its end although only its status is used.

Change: a line of more than 256 KiB fails the dispatch, which is cancelled and retried elsewhere like any other broken stream. An error response is judged by its status once its body exceeds 256 KiB.

Now the other server's answer arrives (after bytes without end or a 500), or 502 (after a 400).

--- a/src/model_request.cc
+++ b/src/model_request.cc
@@ -20,6 +20,10 @@
 constexpr Millis kMaxReserveWait{300};
 // Limit on the dispatches of one request, including the first.
 constexpr int kMaxDispatches = 8;
+// Limits on what an engine may send: one line of a stream, which holds a few
+// tokens, and the body of an error response, which is not used.
+constexpr std::size_t kMaxEventBytes = 256 << 10;
+constexpr std::size_t kMaxErrorBytes = 256 << 10;
 // Delay before a retry, because the retry budget is exhausted or the servers
 // refused the request or are ejected.
 constexpr Millis kRetryDelay{50};
@@ -327,6 +331,7 @@
   void Dispatch() {
     ++dispatches_;
     parser_ = {};
+    error_bytes_ = 0;
     usage_.reset();
     http_status_ = 0;
     is_declined_ = false;
@@ -379,7 +384,11 @@
                 },
             .on_data =
                 [self, is_current](std::string_view data) {
-                  if (!is_current() || self->http_status_ != kHttpOk) {
+                  if (!is_current()) {
+                    return;
+                  }
+                  if (self->http_status_ != kHttpOk) {
+                    self->OnErrorBody(data.size());
                     return;
                   }
                   for (const auto& it : self->parser_.Feed(data)) {
@@ -388,6 +397,10 @@
                       self->OnEvent(ParseEngineEvent(it));
                     }
                   }
+                  if (is_current() &&
+                      self->parser_.partial_bytes() > kMaxEventBytes) {
+                    self->FailDispatch("it sent an event without end");
+                  }
                 },
             .on_end =
                 [self, is_current](HttpResult end) {
@@ -397,6 +410,15 @@
                 }};
   }
 
+  // An error response is judged by its status, so its end is not waited for
+  // beyond a limit.
+  void OnErrorBody(std::size_t bytes) {
+    error_bytes_ += bytes;
+    if (error_bytes_ > kMaxErrorBytes) {
+      OnEnd(HttpResult::kTooLarge);
+    }
+  }
+
   void OnEvent(const EngineEvent& event) {
     using Kind = EngineEvent::Kind;
     if (event.kind == Kind::kDone) {
@@ -724,6 +746,7 @@
   std::optional<HttpCall> http_call_;
   std::string request_id_;
   SseParser parser_;
+  std::size_t error_bytes_ = 0;
   std::optional<Usage> usage_;
   int http_status_ = 0;
   bool is_declined_ = false;
--- a/src/model_request.h
+++ b/src/model_request.h
@@ -55,6 +55,8 @@
  public:
   // Adds bytes of the stream; returns the `data` lines that they complete.
   std::vector<std::string> Feed(std::string_view bytes);
+  // Number of bytes of the incomplete line.
+  std::size_t partial_bytes() const { return partial_line_.size(); }
 
  private:
   std::string partial_line_;
--- a/tests/correctness/model_request_test.cc
+++ b/tests/correctness/model_request_test.cc
@@ -1,6 +1,7 @@
 #include "src/model_request.h"
 
 #include <QJsonArray>
+#include <QTimer>
 #include <catch2/catch.hpp>
 
 #include "tests/request_fixture.h"
@@ -114,6 +115,15 @@
   reply.Abort();
 }
 
+// Writes bytes that complete no event until the router closes.
+void WriteWithoutEnd(HttpReply reply) {
+  if (!reply.IsOpen()) {
+    return;
+  }
+  reply.Write(std::string(16 << 10, 'x'));
+  QTimer::singleShot(1, [reply] { WriteWithoutEnd(reply); });
+}
+
 }  // namespace
 
 // Guards against an answer that differs from the expected format, and against a
@@ -133,6 +143,31 @@
   CHECK(fixture.available_tokens == 993);
 }
 
+// Guards against a server that sends bytes without end: they were kept without
+// a limit, and the request never ended.
+TEST_CASE("an event without end fails the dispatch") {
+  FaultyFixture fixture(
+      [](HttpReply& reply, const EngineRequest&) { WriteWithoutEnd(reply); });
+  const auto result = fixture.Complete(kUnstreamed);
+  CHECK(result.status == 200);
+  CHECK(AnswerText(result) == "<0><1><2><3><4>");
+  CHECK(fixture.cancelled == 1);
+}
+
+TEST_CASE("an error response without end fails the dispatch") {
+  const int status = GENERATE(400, 500);
+  RequestFixture fixture;
+  fixture.AddBackend([status](const IncomingRequest&, HttpReply reply) {
+    reply.StartStream(status, {});
+    WriteWithoutEnd(reply);
+  });
+  fixture.AddBackend(Answer);
+  fixture.Start();
+  // Makes the table prefer the faulty server.
+  fixture.context.backends->UpdateLoad("server-1", {.running = 3});
+  CHECK(fixture.Complete(kUnstreamed).status == (status == 500 ? 200 : 502));
+}
+
 // Guards against billing the retry of a request a second time.
 TEST_CASE("a retry with the same key and body has the same bill key") {
   RequestFixture fixture;
