Limit what the load command holds of an answer

What an operator saw: nothing yet; found while every reader of answers was checked. A router whose answer has no end made `crocuslatch load` keep all of it, and the request counted as unfinished.

Cause: the bodies of orders and errors, and incomplete events, were kept without a limit.

Change: an attempt of whose answer more than 8 MB would be held ends with the code answer_too_large.

Evidence: the new test (32 MB to an order and to a stream) failed before with "unfinished" for both.

--- a/src/load_generator.cc
+++ b/src/load_generator.cc
@@ -36,6 +36,8 @@
 constexpr Millis kStreamStallTimeout{12000};
 constexpr Millis kStatsTimeout{10000};
 constexpr int kHttpOk = 200;
+// Limit for what is held of one answer. Orders and events are much smaller.
+constexpr std::size_t kMaxHeldBytes = 8 << 20;
 
 QByteArray Bytes(std::string_view text) {
   return {text.data(), static_cast<qsizetype>(text.size())};
@@ -418,6 +420,12 @@
   }
 
   static void OnData(Call& call, std::string_view data) {
+    if (call.body.size() + call.parser.partial_bytes() + data.size() >
+        kMaxHeldBytes) {
+      call.error = AttemptResult{.code = "answer_too_large"};
+      call.http.Cancel();
+      return;
+    }
     if (call.request.is_order || call.status != kHttpOk) {
       call.body += data;
       return;
--- a/tests/correctness/load_generator_test.cc
+++ b/tests/correctness/load_generator_test.cc
@@ -5,6 +5,8 @@
 #include <fstream>
 #include <sstream>
 
+#include "tests/raw_server.h"
+
 namespace crocuslatch {
 namespace {
 
@@ -46,5 +48,35 @@
   CHECK(RetryDelay({.code = "connection_cut", .is_disconnected = true}));
 }
 
+// Guards against an answer without end that the load command keeps until memory
+// is full.
+TEST_CASE("an answer without end ends the attempt") {
+  const double order_fraction = GENERATE(0.0, 1.0);
+  RawServer router([](QTcpSocket& socket, const QByteArray& all) {
+    if (all.contains("\r\n\r\n")) {
+      socket.write("HTTP/1.1 200 OK\r\n\r\n");
+      socket.write(QByteArray(32 << 20, 'x'));
+    }
+  });
+  const LoadPlan plan{
+      .routers = {fmt::format("127.0.0.1:{}", router.port())},
+      .duration = Millis{200},
+      .drain = Millis{3000},
+      .max_requests = 1,
+      .client_accounts = {{.name = "a", .api_key = "k"}},
+      .streams = {{.name = "s",
+                   .client_account = "a",
+                   .rank = "normal",
+                   .model = "m",
+                   .rate = 100,
+                   .order_fraction = order_fraction,
+                   .service = "booking"}},
+      .phases = {{.name = "p", .duration = Millis{200}, .streams = {"s"}}}};
+  const auto run = RunLoad(plan, 1, {});
+  REQUIRE(run.transcripts.size() == 1);
+  CHECK(run.transcripts[0].codes ==
+        std::vector<std::string>{"answer_too_large"});
+}
+
 }  // namespace
 }  // namespace crocuslatch
