Test the answers of requests that a planned stop ends

An order that waits for tokens gets 503 and "not run", one that a server has gets 502 and an unknown outcome, and a stream that has begun is cut. The process test before covered the second case only.

--- a/app/forwarding.cc
+++ b/app/forwarding.cc
@@ -811,7 +811,7 @@
     }
   }
 
-  // The grace period of a planned stop is over.
+  // The grace period of a planned stop is nearly over.
   void OnHostStopped() {
     if (is_done_) {
       return;
--- a/core/memory_account.h
+++ b/core/memory_account.h
@@ -53,8 +53,7 @@
   bool IsFull() const;
 
   // Large responses take turns: the oldest one is read on, since its end frees
-  // memory. While the account is
-  // full, it waits too, unless nobody could yield.
+  // memory. While the account is full, it waits too, unless nobody could yield.
   std::uint64_t BeginLargeResponse();
   void EndLargeResponse(std::uint64_t turn);
   bool MayReadLargeResponse(std::uint64_t turn) const;
--- a/tests/correctness/forwarding_test.cc
+++ b/tests/correctness/forwarding_test.cc
@@ -394,4 +394,59 @@
   CHECK(it.received.empty());
 }
 
+// Guards against "not run" for an order that a server has, and against a stream
+// that looks complete because its host stopped.
+TEST_CASE("a request that a planned stop ends gets a true answer") {
+  struct Case {
+    std::string target;
+    bool is_reserved;
+    HttpResult end;
+    int status;
+    std::string outcome;
+  };
+  const auto [target, is_reserved, expected_end, expected_status, outcome] =
+      GENERATE(values<Case>(
+          {{"/order/1", false, HttpResult::kComplete, 503, "not_run"},
+           {"/order/1", true, HttpResult::kComplete, 502, "outcome_unknown"},
+           {"/stream/1", true, HttpResult::kBroken, 200, "id: 1"}}));
+  Fixture it;
+  OpenRequests open_requests;
+  it.context->open_requests = &open_requests;
+  bool has_begun = false;
+  std::optional<HttpReply> server_reply;
+  std::function<void(ReserveStatus)> on_reserved;
+  it.context->reserve = [&, is_reserved = is_reserved](
+                            const auto&, Tokens, Millis, const auto& callback) {
+    on_reserved = callback;
+    has_begun = !is_reserved;
+    if (is_reserved) {
+      on_reserved(ReserveStatus::kReserved);
+    }
+  };
+  it.respond = [&](const IncomingRequest& request, const HttpReply& reply) {
+    server_reply = reply;
+    has_begun = true;
+    if (request.path.starts_with("/stream/")) {
+      server_reply->StartStream(200, Fixture::Sealed());
+      server_reply->Write("id: 1\ndata: x\n\n");
+    }
+  };
+  std::optional<HttpResult> end;
+  int status = 0;
+  std::string body;
+  it.caller.Send(
+      it.Request("POST", target),
+      {.on_headers = [&](int head, const HttpHeaders&) { status = head; },
+       .on_data = [&](std::string_view bytes) { body += bytes; },
+       .on_end = [&](HttpResult result) { end = result; }});
+  REQUIRE(RunUntil(
+      [&] { return has_begun && (target == "/order/1" || !body.empty()); }));
+  CHECK(open_requests.EndAll());
+  REQUIRE(RunUntil([&] { return end.has_value(); }));
+  CHECK(*end == expected_end);
+  CHECK(status == expected_status);
+  CHECK(body.find(outcome) != std::string::npos);
+  CHECK_FALSE(open_requests.EndAll());
+}
+
 }  // namespace crocuslatch
