--- a/tests/correctness/forwarding_test.cc
+++ b/tests/correctness/forwarding_test.cc
@@ -404,22 +404,20 @@
     int status;
     std::string outcome;
   };
-  const auto [target, is_reserved, expected_end, expected_status, outcome] =
-      GENERATE(values<Case>(
-          {{"/order/1", false, HttpResult::kComplete, 503, "not_run"},
-           {"/order/1", true, HttpResult::kComplete, 502, "outcome_unknown"},
-           {"/stream/1", true, HttpResult::kBroken, 200, "id: 1"}}));
+  const auto expected = GENERATE(values<Case>(
+      {{"/order/1", false, HttpResult::kComplete, 503, "not_run"},
+       {"/order/1", true, HttpResult::kComplete, 502, "outcome_unknown"},
+       {"/stream/1", true, HttpResult::kBroken, 200, "id: 1"}}));
   Fixture it;
   OpenRequests open_requests;
   it.context->open_requests = &open_requests;
   bool has_begun = false;
   std::optional<HttpReply> server_reply;
   std::function<void(ReserveStatus)> on_reserved;
-  it.context->reserve = [&, is_reserved = is_reserved](
-                            const auto&, Tokens, Millis, const auto& callback) {
+  it.context->reserve = [&](const auto&, Tokens, Millis, const auto& callback) {
     on_reserved = callback;
-    has_begun = !is_reserved;
-    if (is_reserved) {
+    has_begun = !expected.is_reserved;
+    if (expected.is_reserved) {
       on_reserved(ReserveStatus::kReserved);
     }
   };
@@ -435,17 +433,18 @@
   int status = 0;
   std::string body;
   it.caller.Send(
-      it.Request("POST", target),
+      it.Request("POST", expected.target),
       {.on_headers = [&](int head, const HttpHeaders&) { status = head; },
        .on_data = [&](std::string_view bytes) { body += bytes; },
        .on_end = [&](HttpResult result) { end = result; }});
-  REQUIRE(RunUntil(
-      [&] { return has_begun && (target == "/order/1" || !body.empty()); }));
+  REQUIRE(RunUntil([&] {
+    return has_begun && (expected.target == "/order/1" || !body.empty());
+  }));
   CHECK(open_requests.EndAll());
   REQUIRE(RunUntil([&] { return end.has_value(); }));
-  CHECK(*end == expected_end);
-  CHECK(status == expected_status);
-  CHECK(body.find(outcome) != std::string::npos);
+  CHECK(*end == expected.end);
+  CHECK(status == expected.status);
+  CHECK(body.find(expected.outcome) != std::string::npos);
   CHECK_FALSE(open_requests.EndAll());
 }
 
