Ask the memory account itself whether memory is short

Cause: ReadLimit and the buffers of streams asked may_read with a size that no holder has, to learn what MemoryAccount::IsUnderPressure says, and two constants in app/ stated the same Retry-After of a stopping host.

Change: MemoryHooks has is_under_pressure, and kStoppingRetryAfter stands once, in app/forwarding.h. Behaviour stays as it is: MayRead of a large holder and IsUnderPressure compare the same figures.

--- a/app/caller_memory.cc
+++ b/app/caller_memory.cc
@@ -26,6 +26,7 @@
   auto hooks = std::make_shared<MemoryHooks>();
   hooks->add = [account](std::ptrdiff_t n) { account->Add(n); };
   hooks->may_read = [account](std::size_t n) { return account->MayRead(n); };
+  hooks->is_under_pressure = [account] { return account->IsUnderPressure(); };
   hooks->is_full = [account] { return account->IsFull(); };
   hooks->large_response_bytes = MemoryAccountOptions{}.large_response_bytes;
   hooks->begin_large_response = [account] {
--- a/app/forwarding.cc
+++ b/app/forwarding.cc
@@ -43,9 +43,6 @@
 // Retry-After of a request that waited unread on this host until its time limit
 // may have passed. The caller's next connection may reach another host.
 constexpr Millis kReadLateRetryAfter{50};
-// Retry-After of a request that was not run when its host stopped. Other hosts
-// are in rotation.
-constexpr Millis kStoppedRetryAfter{20};
 
 // Retry-After of a request that no server could be found for.
 constexpr Millis kDispatchRetryAfter{200};
@@ -529,9 +526,9 @@
       return kNoReadLimit;
     }
     if (IsStreamingResponse() &&
-        reply_.unsent_bytes() >= (context_->memory->may_read(kStreamBufferBytes)
-                                      ? kStreamBufferBytes
-                                      : kShortStreamBufferBytes)) {
+        reply_.unsent_bytes() >= (context_->memory->is_under_pressure()
+                                      ? kShortStreamBufferBytes
+                                      : kStreamBufferBytes)) {
       // The caller is slow, not the server.
       last_event_at_ = context_->loop.now();
       return 0;
@@ -818,7 +815,7 @@
     }
     CancelDispatch();
     FailDispatch("stopped", "the router stopped before the request was done",
-                 kStoppedRetryAfter);
+                 kStoppingRetryAfter);
   }
 
   void Fail(const Failure& failure) {
--- a/app/forwarding.h
+++ b/app/forwarding.h
@@ -38,6 +38,10 @@
   Millis min_stream_patience{2000};
 };
 
+// Retry-After of requests that are not run because their host is stopping.
+// Other hosts are in rotation, so callers may retry at once.
+constexpr Millis kStoppingRetryAfter{20};
+
 // Dependencies of ForwardRequest. All of them are used on the thread of `loop`
 // only.
 struct ForwardContext {
--- a/app/front.cc
+++ b/app/front.cc
@@ -54,9 +54,6 @@
 // balancer probes readiness once a second and removes a host after two missed
 // probes, so new connections may arrive until then.
 constexpr Millis kDeregistrationDelay{2500};
-// Retry-After of requests that are refused while stopping. Other hosts are in
-// rotation, so callers may retry at once.
-constexpr Millis kStoppingRetryAfter{20};
 constexpr int kUnavailable = 503;
 constexpr Millis kActivityLogPeriod{10000};
 // Fraction of the fleet's retry limit that is used: arrivals at servers and
--- a/io/memory_charge.h
+++ b/io/memory_charge.h
@@ -27,6 +27,7 @@
   std::function<void(std::ptrdiff_t)> add;
   // Whether more may be read for a holder of `held` bytes.
   std::function<bool(std::size_t held)> may_read;
+  std::function<bool()> is_under_pressure;
   std::function<bool()> is_full;
   // Responses of which more than this is held take turns while memory is short:
   // the oldest one may always be read on, so that it ends and frees its memory.
@@ -100,9 +101,9 @@
     // Many responses may begin at once, so each grows in small steps while
     // memory is short.
     constexpr std::size_t kStepsUntilLarge = 4;
-    return hooks_->may_read(kNoReadLimit)
-               ? kNoReadLimit
-               : hooks_->large_response_bytes / kStepsUntilLarge;
+    return hooks_->is_under_pressure()
+               ? hooks_->large_response_bytes / kStepsUntilLarge
+               : kNoReadLimit;
   }
 
  private:
