Share what the tests of broken answers wrote several times

Cause: two tests of field lines and two of uploads differed in a few words, three tests reset a connection by hand, and two wrote bytes without end with the same loop.

Change: CheckAnswerWithLine and UploadUnread in broken_answer_test.cc; ResetConnection and WriteWithoutEnd in tests/raw_server.h. No check, bound or expectation changed.

--- a/tests/error/broken_answer_test.cc
+++ b/tests/error/broken_answer_test.cc
@@ -2,6 +2,7 @@
 
 #include <QTimer>
 #include <catch2/catch.hpp>
+#include <functional>
 #include <string>
 #include <utility>
 
@@ -23,14 +24,6 @@
   socket.flush();
 }
 
-// Closes the connection with a reset.
-void Reset(QTcpSocket& socket) {
-  const linger discard{1, 0};
-  ::setsockopt(static_cast<int>(socket.socketDescriptor()), SOL_SOCKET,
-               SO_LINGER, &discard, sizeof discard);
-  socket.abort();
-}
-
 // How a server ends its connection after its last byte.
 enum class Ending { kClose, kReset, kSilence };
 
@@ -51,7 +44,7 @@
     if (ending == Ending::kClose) {
       socket.disconnectFromHost();
     } else if (ending == Ending::kReset) {
-      Reset(socket);
+      ResetConnection(socket);
     }
   };
 }
@@ -64,6 +57,44 @@
 
 const std::string kWholeAnswer = kAnswerHead + "Content-Length: 4\r\n\r\ndone";
 
+// Checks that an answer is a failure if its head has this line, as the first
+// field or as the last.
+void CheckAnswerWithLine(const std::string& line,
+                         bool is_first,
+                         bool is_byte_by_byte) {
+  INFO(line);
+  const std::string status_line = "HTTP/1.1 200 OK\r\n";
+  auto head = kAnswerHead;
+  head.insert(is_first ? status_line.size() : head.size(), line + "\r\n");
+  RawFixture it(AnswerWith(head + "Content-Length: 4\r\n\r\ndone",
+                           Ending::kSilence, is_byte_by_byte));
+  CheckOutcomeUnknown(it.SendAndWaitForEnd(it.Request("POST", "/order/1")));
+  CHECK(it.client.open_connections() == 0);
+}
+
+// Uploads more than the kernel takes to a server that leaves it unread, and
+// calls `answer` once the server has the head. Returns how the request ended.
+RawFixture::Ending UploadUnread(
+    const std::string& target,
+    const std::function<void(QTcpSocket&)>& answer) {
+  constexpr std::size_t kUploadBytes = 16 << 20;
+  bool has_answered = false;
+  RawFixture it([&](QTcpSocket& socket, const QByteArray& all) {
+    if (HasRequest(all) && !std::exchange(has_answered, true)) {
+      socket.setReadBufferSize(1);
+      answer(socket);
+    }
+  });
+  HttpServer front({.max_body_bytes = 2 * kUploadBytes},
+                   [&](const IncomingRequest& request, HttpReply reply) {
+                     ForwardRequest(it.context, request, std::move(reply));
+                   });
+  auto request = it.Request("POST", target);
+  request.url = fmt::format("http://127.0.0.1:{}{}", front.port(), target);
+  request.body = std::string(kUploadBytes, 'u');
+  return it.SendAndWaitForEnd(request);
+}
+
 }  // namespace
 
 // Guards against a response with such a status that is taken for an interim
@@ -105,14 +136,7 @@
                "Content-Length\x0b: 2"s, "Transfer-Encoding : chunked"s);
   const bool is_first = GENERATE(true, false);
   const bool is_byte_by_byte = GENERATE(false, true);
-  INFO(line);
-  const std::string status_line = "HTTP/1.1 200 OK\r\n";
-  auto head = kAnswerHead;
-  head.insert(is_first ? status_line.size() : head.size(), line + "\r\n");
-  RawFixture it(AnswerWith(head + "Content-Length: 4\r\n\r\ndone",
-                           Ending::kSilence, is_byte_by_byte));
-  CheckOutcomeUnknown(it.SendAndWaitForEnd(it.Request("POST", "/order/1")));
-  CHECK(it.client.open_connections() == 0);
+  CheckAnswerWithLine(line, is_first, is_byte_by_byte);
 }
 
 // Guards against a field name with a leading blank: such a line continues the
@@ -123,44 +147,23 @@
       GENERATE(" X: 1"s, "\tX: 1"s, " Content-Length: 2"s, " "s, "\t"s);
   const bool is_first = GENERATE(true, false);
   const bool is_byte_by_byte = GENERATE(false, true);
-  INFO(line);
-  const std::string status_line = "HTTP/1.1 200 OK\r\n";
-  auto head = kAnswerHead;
-  head.insert(is_first ? status_line.size() : head.size(), line + "\r\n");
-  RawFixture it(AnswerWith(head + "Content-Length: 4\r\n\r\ndone",
-                           Ending::kSilence, is_byte_by_byte));
-  CheckOutcomeUnknown(it.SendAndWaitForEnd(it.Request("POST", "/order/1")));
-  CHECK(it.client.open_connections() == 0);
+  CheckAnswerWithLine(line, is_first, is_byte_by_byte);
 }
 
 // Guards against a success that consists of what arrived before a reset. The
 // reset may be reported to a write of the request before it is to a read.
 TEST_CASE("an unframed answer that is reset during the upload is a failure") {
-  constexpr std::size_t kUploadBytes = 16 << 20;
   const int reset_after_ms = GENERATE(0, 0, 0, 5, 30);
   const auto target = GENERATE(as<std::string>(), "/order/1", "/stream/1");
   INFO(reset_after_ms << " " << target);
-  bool has_answered = false;
-  RawFixture it([&](QTcpSocket& socket, const QByteArray& all) {
-    if (!HasRequest(all) || std::exchange(has_answered, true)) {
-      return;
-    }
-    // Leaves the rest of the request unread.
-    socket.setReadBufferSize(1);
+  const auto ending = UploadUnread(target, [&](QTcpSocket& socket) {
     Write(socket,
           kAnswerHead + "Connection: close\r\n\r\n" + "id: 1\ndata: part\n\n");
-    reset_after_ms == 0 ? Reset(socket)
-                        : QTimer::singleShot(reset_after_ms, &socket,
-                                             [&socket] { Reset(socket); });
+    reset_after_ms == 0
+        ? ResetConnection(socket)
+        : QTimer::singleShot(reset_after_ms, &socket,
+                             [&socket] { ResetConnection(socket); });
   });
-  HttpServer front({.max_body_bytes = 2 * kUploadBytes},
-                   [&](const IncomingRequest& request, HttpReply reply) {
-                     ForwardRequest(it.context, request, std::move(reply));
-                   });
-  auto request = it.Request("POST", target);
-  request.url = fmt::format("http://127.0.0.1:{}{}", front.port(), target);
-  request.body = std::string(kUploadBytes, 'u');
-  const auto ending = it.SendAndWaitForEnd(request);
   if (ending.status == 200) {
     CHECK(target == "/stream/1");
     CHECK(ending.end == HttpResult::kBroken);
@@ -171,24 +174,10 @@
 
 // The counterpart: a server that has answered need not read the request.
 TEST_CASE("an unframed answer that ends in order during the upload is whole") {
-  constexpr std::size_t kUploadBytes = 16 << 20;
-  bool has_answered = false;
-  RawFixture it([&](QTcpSocket& socket, const QByteArray& all) {
-    if (!HasRequest(all) || std::exchange(has_answered, true)) {
-      return;
-    }
-    socket.setReadBufferSize(1);
+  const auto ending = UploadUnread("/order/1", [](QTcpSocket& socket) {
     Write(socket, kAnswerHead + "Connection: close\r\n\r\ndone");
     ::shutdown(static_cast<int>(socket.socketDescriptor()), SHUT_WR);
   });
-  HttpServer front({.max_body_bytes = 2 * kUploadBytes},
-                   [&](const IncomingRequest& request, HttpReply reply) {
-                     ForwardRequest(it.context, request, std::move(reply));
-                   });
-  auto request = it.Request("POST", "/order/1");
-  request.url = fmt::format("http://127.0.0.1:{}/order/1", front.port());
-  request.body = std::string(kUploadBytes, 'u');
-  const auto ending = it.SendAndWaitForEnd(request);
   CHECK(ending.end == HttpResult::kComplete);
   CHECK(ending.status == 200);
   CHECK(ending.body == "done");
--- a/tests/error/http_server_test.cc
+++ b/tests/error/http_server_test.cc
@@ -1,11 +1,10 @@
 #include "io/http_server.h"
 
-#include <sys/socket.h>
-
 #include <QTcpSocket>
 #include <catch2/catch.hpp>
 #include <map>
 
+#include "tests/raw_server.h"
 #include "tests/run_until.h"
 
 namespace crocuslatch {
@@ -242,10 +241,7 @@
     was_inside_call = is_inside_call;
   });
   // The reset arrives before the event loop of the server runs again.
-  const linger hard{1, 0};
-  ::setsockopt(static_cast<int>(caller.socketDescriptor()), SOL_SOCKET,
-               SO_LINGER, &hard, sizeof hard);
-  caller.abort();
+  ResetConnection(caller);
   respond(replies["/lost"]);
   is_inside_call = false;
   RunFor(Millis{50});
--- a/tests/error/server_trouble_test.cc
+++ b/tests/error/server_trouble_test.cc
@@ -1,5 +1,3 @@
-#include <sys/socket.h>
-
 #include <QTimer>
 #include <catch2/catch.hpp>
 
@@ -12,22 +10,6 @@
 namespace crocuslatch {
 namespace {
 
-// Writes `first` and then `rest` again and again until the caller closes.
-void WriteWithoutEnd(QTcpSocket& socket,
-                     const std::string& first,
-                     const std::string& rest) {
-  socket.write(first.data(), static_cast<qint64>(first.size()));
-  auto* timer = new QTimer(&socket);
-  QObject::connect(timer, &QTimer::timeout, &socket, [&socket, rest] {
-    constexpr qint64 kMaxQueued = 1 << 20;
-    while (socket.state() == QAbstractSocket::ConnectedState &&
-           socket.bytesToWrite() < kMaxQueued) {
-      socket.write(rest.data(), static_cast<qint64>(rest.size()));
-    }
-  });
-  timer->start(1);
-}
-
 // A time in which every limit is reached on loopback, and which is shorter than
 // the time limits of the requests.
 constexpr Millis kSoon{1500};
@@ -246,12 +228,7 @@
     socket.write(answer.data(), static_cast<qint64>(answer.size()));
     socket.flush();
     QTimer::singleShot(30, &socket, [&socket, is_reset] {
-      const linger hard{1, 0};
-      if (is_reset) {
-        ::setsockopt(static_cast<int>(socket.socketDescriptor()), SOL_SOCKET,
-                     SO_LINGER, &hard, sizeof hard);
-      }
-      is_reset ? socket.abort() : socket.disconnectFromHost();
+      is_reset ? ResetConnection(socket) : socket.disconnectFromHost();
     });
   });
   const auto ending = it.SendAndWaitForEnd(it.Request("GET", target));
--- a/tests/process/front_stop_test.cc
+++ b/tests/process/front_stop_test.cc
@@ -1,7 +1,7 @@
 #include <signal.h>
 
 #include <catch2/catch.hpp>
-#include <optional>
+#include <map>
 #include <string>
 
 #include "tests/resources/limited_host.h"
--- a/tests/raw_server.h
+++ b/tests/raw_server.h
@@ -2,13 +2,17 @@
 #define TESTS_RAW_SERVER_H_
 
 #include <fmt/format.h>
+#include <sys/socket.h>
 
 #include <QTcpServer>
 #include <QTcpSocket>
+#include <QTimer>
 #include <functional>
 #include <memory>
 #include <string>
 
+#include "src/types.h"
+
 // Defines a TCP server whose bytes a test writes itself.
 
 namespace crocuslatch {
@@ -48,6 +52,33 @@
   QTcpServer server_;
 };
 
+// Closes the connection with a reset.
+inline void ResetConnection(QTcpSocket& socket) {
+  const linger discard{1, 0};
+  ::setsockopt(static_cast<int>(socket.socketDescriptor()), SOL_SOCKET,
+               SO_LINGER, &discard, sizeof discard);
+  socket.abort();
+}
+
+// Writes `first` and then `rest` again and again until the peer closes, with at
+// most about `max_queued` bytes waiting to be sent.
+inline void WriteWithoutEnd(QTcpSocket& socket,
+                            const std::string& first,
+                            const std::string& rest,
+                            qint64 max_queued = 1 << 20,
+                            Millis period = Millis{1}) {
+  socket.write(first.data(), static_cast<qint64>(first.size()));
+  auto* timer = new QTimer(&socket);
+  QObject::connect(
+      timer, &QTimer::timeout, &socket, [&socket, rest, max_queued] {
+        while (socket.state() == QAbstractSocket::ConnectedState &&
+               socket.bytesToWrite() < max_queued) {
+          socket.write(rest.data(), static_cast<qint64>(rest.size()));
+        }
+      });
+  timer->start(period);
+}
+
 }  // namespace crocuslatch
 
 #endif  // TESTS_RAW_SERVER_H_
--- a/tests/resources/faulty_servers_test.cc
+++ b/tests/resources/faulty_servers_test.cc
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "tests/raw_server.h"
 #include "tests/resources/limited_host.h"
 
 // A backend server in trouble that sends bytes without end to many requests at
@@ -22,13 +23,16 @@
 constexpr int kManyRequests = 800;
 constexpr std::size_t kHostMemoryMb = 88;
 constexpr std::size_t kHostDescriptors = 4100;
+// Small, so that all connections make progress in turn.
+constexpr qint64 kMaxQueuedBytes = 16 << 10;
+constexpr Millis kWritePeriod{5};
 
 const std::string kHead =
     "HTTP/1.1 200 OK\r\nCrocuslatch-Request-Id: f\r\n"
     "Crocuslatch-Replica-Seal: s\r\n";
 
 // Sends `first` on each connection, and then `rest` again and again until the
-// router closes. All connections make progress in turn.
+// router closes.
 class EndlessServer {
  public:
   EndlessServer(const std::string& first, const std::string& rest) {
@@ -42,7 +46,8 @@
                              [socket, first, rest] {
                                if (!socket->readAll().isEmpty() &&
                                    socket->findChildren<QTimer*>().isEmpty()) {
-                                 Start(*socket, first, rest);
+                                 WriteWithoutEnd(*socket, first, rest,
+                                                 kMaxQueuedBytes, kWritePeriod);
                                }
                              });
           }
@@ -54,22 +59,6 @@
   int connections = 0;
 
  private:
-  static void Start(QTcpSocket& socket,
-                    const std::string& first,
-                    const std::string& rest) {
-    constexpr int kPauseMs = 5;
-    constexpr qint64 kMaxQueued = 16 << 10;
-    socket.write(first.data(), static_cast<qint64>(first.size()));
-    auto* timer = new QTimer(&socket);
-    QObject::connect(timer, &QTimer::timeout, &socket, [&socket, rest] {
-      while (socket.state() == QAbstractSocket::ConnectedState &&
-             socket.bytesToWrite() < kMaxQueued) {
-        socket.write(rest.data(), static_cast<qint64>(rest.size()));
-      }
-    });
-    timer->start(kPauseMs);
-  }
-
   QTcpServer server_;
 };
 
