--- a/review/standins3.py
+++ b/review/standins3.py
@@ -334,7 +334,10 @@
     BOUNDS = {"grace_s": 8, "drain_ms": 2000, "config_apply_ms": 2000,
               "retry_ratio": 0.2, "retry_window_s": 10, "retry_slack": 58}
 
-    def __init__(self, name, store_address, folder, zone="z1", bounds=None):
+    LIMITS = {"link_mbps": 1000.0, "memory_mb": 110, "max_fds": 4100}
+
+    def __init__(self, name, store_address, folder, zone="z1", bounds=None,
+                 limits=None):
         self.name, self.folder = name, folder
         self.ip = pick_loopback()
         self.front, self.ready, self.peers = (free_port(self.ip)
@@ -346,8 +349,7 @@
             "internal_ports": [self.peers, self.peers],
             "platform": {"address": store_address},
             "bounds": dict(self.BOUNDS, **(bounds or {})),
-            "limits": {"link_mbps": 1000.0, "memory_mb": 110,
-                       "max_fds": 4100}}
+            "limits": dict(self.LIMITS, **(limits or {}))}
         template = open(os.path.join(ROOT, "deploy/settings.toml")).read()
         self.settings = os.path.join(folder, name + ".toml")
         with open(self.settings, "w") as it:
